--- a/ident/ident.go
+++ b/ident/ident.go
@@ -23,6 +23,15 @@
 // Upstream is the name of an upstream within its service.
 type Upstream string
 
+// Target identifies one incarnation of a target; a restarted one mostly has a new id.
+type Target string
+
+// Route is the name of a route of the configuration.
+type Route string
+
+// Revision numbers the states of a store; it grows with each change.
+type Revision uint64
+
 // Address is a host and port.
 type Address string
 
--- /dev/null
+++ b/process/catalog/source.go
@@ -0,0 +1,89 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/version/route"
+)
+
+// ErrHistoryGone means that the store no longer has the changes since a revision, so that all must be listed again.
+var ErrHistoryGone = errors.New("catalog: the store has dropped this history")
+
+// Kind is one kind of objects in the store.
+type Kind int
+
+// The kinds that are followed.
+const (
+	Configurations Kind = iota
+	Targets
+	Evacuations
+	kinds
+)
+
+var kindNames = [kinds]string{"configurations", "targets", "evacuations"}
+
+// String names the kind for logs.
+func (k Kind) String() string {
+	return kindNames[k]
+}
+
+// Entry is the content of one object.
+type Entry interface {
+	entry()
+}
+
+// Configuration is a version of the routes.
+type Configuration struct{ Table *route.Table }
+
+// Registration is a target that has registered itself.
+type Registration struct{ Target roster.Target }
+
+// Evacuation takes a data centre out as long as it exists.
+type Evacuation struct{ DataCentre ident.DataCentre }
+
+// Unreadable is an object from which nothing can be used.
+type Unreadable struct{ Err error }
+
+func (Configuration) entry() {}
+func (Registration) entry()  {}
+func (Evacuation) entry()    {}
+func (Unreadable) entry()    {}
+
+// Record is one object of a kind.
+type Record struct {
+	Name     string
+	Revision ident.Revision
+	Entry    Entry
+}
+
+// Change is a record as it is after a change, or the last state of one that was deleted.
+type Change struct {
+	Record
+	Deleted bool
+}
+
+// Page is a part of a listing, ordered by name.
+type Page struct {
+	Records []Record
+	More    bool
+	// AsOf is the revision of the store that the page shows.
+	AsOf ident.Revision
+}
+
+// Batch is the changes between two revisions.
+type Batch struct {
+	Changes []Change
+	AsOf    ident.Revision
+}
+
+// Source reads objects from the store; every call may fail, hang until the context ends, or lose its answer.
+type Source interface {
+	// List returns the records of a kind whose names follow the given one.
+	List(ctx context.Context, k Kind, after string) (Page, error)
+	// Watch waits for changes after a revision, at most for the given time; it fails with ErrHistoryGone.
+	Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error)
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -23,26 +23,36 @@
 
 // Main parses the flags, runs the daemon until SIGTERM or SIGINT, and returns the exit code.
 func Main(name string, args []string, stderr io.Writer, run Run) int {
+	return Start(name, args, stderr, "vm.toml", settings.Load, func(ctx context.Context, s *settings.Settings) error {
+		l, err := logger(name, s, stderr)
+		if err != nil {
+			return err
+		}
+		return run(ctx, s, newIncarnation(), l)
+	})
+}
+
+// Start parses the flags of a program whose settings are of any kind, runs it until SIGTERM or SIGINT, and returns the
+// exit code. The file is where the settings are read from when no flag and no variable names another.
+func Start[S any](name string, args []string, stderr io.Writer, file string, load func(file string) (S, error),
+	run func(ctx context.Context, s S) error,
+) int {
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.SetOutput(stderr)
-	file := f.String("settings", "vm.toml", "settings `FILE` of this VM")
+	path := f.String("settings", file, "settings `FILE` of this VM")
 	if err := ff.Parse(f, args, ff.WithEnvVarPrefix("AMARANTHRAMP")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
 		return fail(stderr, name, err)
 	}
-	s, err := settings.Load(*file)
-	if err != nil {
-		return fail(stderr, name, err)
-	}
-	l, err := logger(name, s, stderr)
+	s, err := load(*path)
 	if err != nil {
 		return fail(stderr, name, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, s, newIncarnation(), l); err != nil {
+	if err := run(ctx, s); err != nil {
 		return fail(stderr, name, err)
 	}
 	return 0
--- /dev/null
+++ b/process/gateway/dump.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+)
+
+// Dump is the state of a gateway on request.
+type Dump struct {
+	VM        ident.VM
+	Version   ident.Version
+	Revisions []ident.Revision
+	Draining  bool
+	Targets   []TargetDump
+}
+
+// TargetDump is what the gateway knows of one target.
+type TargetDump struct {
+	Target      ident.Target
+	Service     ident.Service
+	DataCentre  ident.DataCentre
+	Trust       string
+	InFlight    int
+	Connections int
+	Running     int
+	Waiting     int
+	Pace        float64
+}
+
+func (g *Gateway) dump() Dump {
+	v := g.catalog.Get()
+	d := Dump{VM: g.settings.Name, Revisions: v.Revisions[:], Draining: g.draining.Load()}
+	if v.Table != nil {
+		d.Version = v.Table.Version
+	}
+	for _, u := range g.set.All() {
+		r := u.Last()
+		d.Targets = append(d.Targets, TargetDump{
+			Target: u.Target.ID, Service: u.Target.Service, DataCentre: u.Target.DataCentre, Trust: u.Trust(),
+			InFlight: u.InFlight(), Connections: u.Connections(), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
+		})
+	}
+	slices.SortFunc(d.Targets, func(a, b TargetDump) int { return cmp.Compare(a.Target, b.Target) })
+	return d
+}
+
+func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(g.dump()); err != nil {
+		g.log.Warn().Err(err).Msg("dump not written")
+	}
+}
--- /dev/null
+++ b/process/gateway/gateway.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/justinas/alice"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/pool"
+	"github.com/amaranthramp/amaranthramp/connection/upstream"
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/request/candidate"
+	"github.com/amaranthramp/amaranthramp/request/relay"
+	"github.com/amaranthramp/amaranthramp/request/retry"
+	"github.com/amaranthramp/amaranthramp/request/warmup"
+)
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout hold for callers' connections.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// gcPercent lets the heap grow to five times what is live: the process holds little, and each collection takes
+	// processor time from the requests in flight.
+	gcPercent = 400
+	// assumedMembers is the number of VMs that a fleet is taken to have at most while its size isn't known.
+	assumedMembers = 20
+)
+
+// Gateway is the process of one VM.
+type Gateway struct {
+	settings *Settings
+	clock    clock.Clock
+	log      zerolog.Logger
+	catalog  *catalog.Catalog
+	follower *catalog.Follower
+	set      *upstream.Set
+	relay    *relay.Relay
+	registry *prometheus.Registry
+	metrics  *metrics
+	headers  *exchange.Headers
+	dropped  func() uint64
+	// draining is set once a planned stop has begun.
+	draining atomic.Bool
+}
+
+// New returns a gateway that reads the source; dropped counts the log lines that were dropped.
+func New(s *Settings, src catalog.Source, h *exchange.Headers, c clock.Clock, l zerolog.Logger, dropped func() uint64,
+) *Gateway {
+	g := catalog.New(c, l)
+	set := upstream.NewSet(c, l, h, pool.DialTCP)
+	w := warmup.New(c, func(ident.Target) int { return assumedMembers })
+	b := retry.NewWindow(c, s.Retry.Share, s.Retry.Slack/assumedMembers, s.Retry.Window)
+	y := &Gateway{
+		settings: s, clock: c, log: l, catalog: g, follower: catalog.NewFollower(g, src, c, l), set: set,
+		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, c, l), b, c, l),
+		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
+	}
+	y.registry.MustRegister(collectors.NewGoCollector())
+	y.metrics = newMetrics(y.registry, y)
+	return y
+}
+
+// Run serves until the context ends, then finishes the requests in flight.
+func (g *Gateway) Run(ctx context.Context) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	h := &handler{catalog: g.catalog, relay: g.relay, headers: g.headers, clock: g.clock, metrics: g.metrics}
+	front := &http.Server{
+		Handler: alice.New(g.closing).Then(h), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	}
+	servers := []struct {
+		address ident.Address
+		server  *http.Server
+	}{
+		{g.settings.CallerAddress, front},
+		{g.settings.ReadyAddress, &http.Server{
+			Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: defaultHeaderTimeout,
+		}},
+		{g.settings.OperatorAddress, &http.Server{Handler: g.operators(), ReadHeaderTimeout: defaultHeaderTimeout}},
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		l, err := net.Listen("tcp", string(s.address))
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		go func() { failed <- s.server.Serve(l) }()
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go g.follower.Run(life)
+	go g.followRoster(life)
+	go g.reload(life)
+	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
+		Str("DataCentre", string(g.settings.DataCentre)).Msg("gateway started")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		return g.stop(front)
+	}
+}
+
+// followRoster drops the connections to targets that are gone.
+func (g *Gateway) followRoster(ctx context.Context) {
+	for {
+		c := g.catalog.Changed()
+		g.set.Follow(g.catalog.Get().Roster)
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+		}
+	}
+}
+
+// reload notes SIGHUP. Nothing in the settings can change while the process lives: addresses and bounds are those of the
+// VM, and all else is read from the store.
+func (g *Gateway) reload(ctx context.Context) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+			g.log.Info().Msg("settings changed; they hold from the next start")
+		}
+	}
+}
+
+// ready answers whether this VM takes new connections.
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.draining.Load() || !g.catalog.Get().Complete {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) operators() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /metrics", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
+	m.HandleFunc("GET /dump", g.serveDump)
+	return m
+}
+
+// closing asks callers to close their connections once a planned stop has begun.
+func (g *Gateway) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+const (
+	// announceTime is how long the platform's balancer has to see that the VM isn't ready: two questions, one a second.
+	announceTime = 2500 * time.Millisecond
+	// stopReserve is what is left of the time to stop when the last requests are given up.
+	stopReserve = 300 * time.Millisecond
+)
+
+// stop is the planned stop: not ready any more, new connections for as long as the balancer may send some, then the
+// requests in flight to their end.
+func (g *Gateway) stop(front *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopReserve)
+	defer cancel()
+	g.draining.Store(true)
+	g.log.Info().Msg("planned stop begins")
+	time.Sleep(min(announceTime, g.settings.Grace/2))
+	err := front.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.log.Warn().Msg("planned stop ends with requests in flight")
+		return nil
+	}
+	g.log.Info().Msg("planned stop ends")
+	return err
+}
--- a/request/caller/caller.go
+++ b/request/caller/caller.go
@@ -98,7 +98,7 @@
 		Body:       b,
 	}
 	peer.StripHeaders(d)
-	stripHop(d)
+	StripHop(d)
 	addOrigin(d, r)
 	c.Header = d
 	return c
--- a/request/caller/header.go
+++ b/request/caller/header.go
@@ -28,8 +28,8 @@
 // upstreamHeaders tell the system about an upstream and mean nothing to callers.
 var upstreamHeaders = []string{call.HeaderLeaving, call.HeaderIncarnation}
 
-// stripHop removes the headers that concern one connection, also those that Connection names.
-func stripHop(h http.Header) {
+// StripHop removes the headers that concern one connection, also those that Connection names.
+func StripHop(h http.Header) {
 	for _, l := range h.Values("Connection") {
 		for n := range strings.SplitSeq(l, ",") {
 			h.Del(strings.TrimSpace(n))
@@ -60,7 +60,7 @@
 		h[n] = v
 	}
 	peer.StripHeaders(h)
-	stripHop(h)
+	StripHop(h)
 	for _, n := range upstreamHeaders {
 		h.Del(n)
 	}
--- /dev/null
+++ b/request/candidate/chooser.go
@@ -0,0 +1,291 @@
+package candidate
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/pool"
+	"github.com/amaranthramp/amaranthramp/connection/upstream"
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/request/outcome"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/version/route"
+)
+
+// The bounds on a look.
+const (
+	// nearLooks and farLooks are how many targets are asked in the own data centre and, if none of these is good, in others.
+	nearLooks = 3
+	farLooks  = 5
+	// goodScore is the estimate up to which a near target is taken without asking others.
+	goodScore = 1.75
+	// farFactor is how much better a far target has to be, for the bytes between data centres.
+	farFactor = 1.1
+	// coldFactor puts a cold target behind warm ones that are not overloaded.
+	coldFactor = 4
+	// lookPatience is how long a choice waits for reports; targets answer probes at once.
+	lookPatience = 20 * time.Millisecond
+	// probeTimeout is how long a report is waited for in all; after it the connection is given up.
+	probeTimeout = 300 * time.Millisecond
+	// lookAgain is the pause before targets without room are asked again.
+	lookAgain = 20 * time.Millisecond
+)
+
+// Warmup grants starts at cold targets, whose number a second is bounded over all VMs.
+type Warmup interface {
+	// Take reserves one start and reports false when this VM must not start one now.
+	Take(t *roster.Target, s *route.Service) bool
+}
+
+// Chooser chooses targets; it is safe for concurrent use.
+type Chooser struct {
+	catalog    *catalog.Catalog
+	set        *upstream.Set
+	dataCentre ident.DataCentre
+	warmup     Warmup
+	clock      clock.Clock
+	log        zerolog.Logger
+}
+
+// New returns a chooser for a VM in the data centre.
+func New(g *catalog.Catalog, s *upstream.Set, z ident.DataCentre, w Warmup, c clock.Clock, l zerolog.Logger) *Chooser {
+	return &Chooser{catalog: g, set: s, dataCentre: z, warmup: w, clock: c, log: l}
+}
+
+// Query is what a choice is made for.
+type Query struct {
+	Request ident.Request
+	Service route.Service
+	// Tried are the targets that had the request already.
+	Tried []ident.Target
+	// Until is when a choice that finds no room is given up.
+	Until clock.Instant
+}
+
+// Choice is a chosen target, reserved for one request, with a connection that has just answered if there is one.
+type Choice struct {
+	Upstream *upstream.Upstream
+	Conn     *pool.Conn
+	// Report is what decided; Asked is how many targets were asked.
+	Report exchange.Report
+	Asked  int
+	Score  float64
+}
+
+// candidate is a target that may get the request.
+type candidate struct {
+	upstream *upstream.Upstream
+	target   roster.Target
+	cold     bool
+}
+
+// seen is a candidate with its report.
+type seen struct {
+	candidate
+	report exchange.Report
+	conn   *pool.Conn
+	score  float64
+	room   bool
+}
+
+// Choose returns the target for one request, or why there is none.
+func (c *Chooser) Choose(ctx context.Context, q *Query) (Choice, outcome.Reason) {
+	asked := 0
+	for {
+		l := c.eligible(q)
+		if len(l) == 0 {
+			return Choice{Asked: asked}, outcome.NoTarget
+		}
+		s, n := c.look(ctx, q, l)
+		asked += n
+		if s != nil && s.room && (!s.cold || c.warmup.Take(&s.target, &q.Service)) {
+			s.upstream.Reserve()
+			return Choice{Upstream: s.upstream, Conn: s.conn, Report: s.report, Asked: asked, Score: s.score}, ""
+		}
+		if s != nil {
+			s.upstream.Release(s.conn)
+		}
+		if c.clock.Now().Add(lookAgain) >= q.Until {
+			return Choice{Asked: asked}, outcome.Overload
+		}
+		t := time.NewTimer(lookAgain)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return Choice{Asked: asked}, outcome.Cancelled
+		case <-t.C:
+		}
+	}
+}
+
+// eligible returns the targets that may get the request. Targets without trust are left out as long as the others are at
+// least half of all.
+func (c *Chooser) eligible(q *Query) []candidate {
+	v := c.catalog.Get()
+	now := c.clock.Now()
+	var usable, doubtful []candidate
+	for _, t := range v.Roster.Of(q.Service.Name) {
+		if slices.Contains(q.Tried, t.ID) {
+			continue
+		}
+		u := c.set.Of(t)
+		k := candidate{upstream: u, target: t, cold: now < max(u.ColdUntil(), t.ColdUntil)}
+		if u.Usable() {
+			usable = append(usable, k)
+		} else {
+			doubtful = append(doubtful, k)
+		}
+	}
+	if len(usable) < len(doubtful) {
+		usable = append(usable, doubtful...)
+	}
+	warm := slices.DeleteFunc(slices.Clone(usable), func(k candidate) bool { return k.cold })
+	if len(warm) > 0 {
+		return warm
+	}
+	return usable
+}
+
+// look asks candidates, near ones first, and returns the best; the connections of the others are given back.
+func (c *Chooser) look(ctx context.Context, q *Query, l []candidate) (*seen, int) {
+	var near, far []candidate
+	for _, k := range l {
+		if k.target.DataCentre == c.dataCentre {
+			near = append(near, k)
+		} else {
+			far = append(far, k)
+		}
+	}
+	best, n := c.ask(ctx, q, sample(near, nearLooks))
+	if best != nil && best.room && best.score <= goodScore {
+		return best, n
+	}
+	other, m := c.ask(ctx, q, sample(far, farLooks))
+	n += m
+	if other != nil {
+		other.score *= farFactor
+	}
+	b, rest := c.better(best, other)
+	if rest != nil {
+		rest.upstream.Release(rest.conn)
+	}
+	if b == nil && ctx.Err() == nil {
+		// Nobody told anything: health answers may be wrong where requests would succeed.
+		b = c.blind(q, l)
+	}
+	return b, n
+}
+
+// better returns the better of two and the other one.
+func (c *Chooser) better(a, b *seen) (best, rest *seen) {
+	switch {
+	case a == nil:
+		return b, nil
+	case b == nil:
+		return a, nil
+	case a.room != b.room:
+		if a.room {
+			return a, b
+		}
+		return b, a
+	case b.score < a.score:
+		return b, a
+	default:
+		return a, b
+	}
+}
+
+// blind picks the target with the fewest requests of this VM.
+func (c *Chooser) blind(q *Query, l []candidate) *seen {
+	var best *candidate
+	for _, k := range sample(l, len(l)) {
+		if best == nil || k.upstream.InFlight() < best.upstream.InFlight() {
+			best = &k
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	n := best.upstream.InFlight()
+	return &seen{candidate: *best, room: n < max(int(best.target.Slots), 1), score: 1 + float64(n)}
+}
+
+// sample returns n candidates at random, those with fewer requests of this VM first.
+func sample(l []candidate, n int) []candidate {
+	l = slices.Clone(l)
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	slices.SortStableFunc(l, func(a, b candidate) int { return a.upstream.InFlight() - b.upstream.InFlight() })
+	return l[:min(n, len(l))]
+}
+
+// ask probes the candidates side by side and returns the best that reported within the patience.
+func (c *Chooser) ask(ctx context.Context, q *Query, l []candidate) (*seen, int) {
+	if len(l) == 0 {
+		return nil, 0
+	}
+	answers := make(chan *seen)
+	over := make(chan struct{})
+	defer close(over)
+	for _, k := range l {
+		go c.probe(q, k, answers, over)
+	}
+	t := time.NewTimer(lookPatience)
+	defer t.Stop()
+	var best *seen
+	for range l {
+		select {
+		case s := <-answers:
+			var rest *seen
+			if best, rest = c.better(best, s); rest != nil {
+				rest.upstream.Release(rest.conn)
+			}
+			continue
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		break
+	}
+	return best, len(l)
+}
+
+// probe asks one candidate and hands its report to the choice, if that still waits. It doesn't end with the request, so
+// that a caller that leaves costs no connection.
+func (c *Chooser) probe(q *Query, k candidate, answers chan<- *seen, over <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	r, n, err := k.upstream.Probe(ctx, q.Service.HealthPath)
+	var s *seen
+	if err == nil {
+		s = c.judge(q, k, r, n)
+	}
+	select {
+	case answers <- s:
+	case <-over:
+		k.upstream.Release(n)
+	}
+}
+
+// judge turns a report into a candidate that may be taken; nil if it may not.
+func (c *Chooser) judge(q *Query, k candidate, r exchange.Report, n *pool.Conn) *seen {
+	if !r.Healthy {
+		k.upstream.Release(n)
+		return nil
+	}
+	extra := k.upstream.SentSince(r.At)
+	if !r.HasLoad {
+		extra = k.upstream.InFlight()
+	}
+	s := &seen{candidate: k, report: r, conn: n, score: score(&r, extra), room: room(&r, extra)}
+	s.cold = r.WarmupLeft > 0 || k.cold
+	if s.cold {
+		s.score *= coldFactor
+	}
+	return s
+}
