--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -68,7 +68,7 @@
 	b := retry.NewWindow(c, s.Retry.Share, s.Retry.Slack/assumedMembers, s.Retry.Window)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: catalog.NewFollower(g, src, c, l), set: set,
-		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, c, l), b, c, l),
+		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, func() int { return assumedMembers }, c, l), b, c, l),
 		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -28,14 +28,12 @@
 	goodScore = 1.75
 	// farFactor is how much better a far target has to be, for the bytes between data centres.
 	farFactor = 1.1
-	// coldFactor puts a cold target behind warm ones that are not overloaded.
-	coldFactor = 4
+	// coldFactor is how much slower a cold target is.
+	coldFactor = 2
 	// lookPatience is how long a choice waits for reports; targets answer probes at once.
 	lookPatience = 20 * time.Millisecond
 	// probeTimeout is how long a report is waited for in all; after it the connection is given up.
 	probeTimeout = 300 * time.Millisecond
-	// lookAgain is the pause before targets without room are asked again.
-	lookAgain = 20 * time.Millisecond
 )
 
 // Warmup grants starts at cold targets, whose number a second is bounded over all VMs.
@@ -50,13 +48,20 @@
 	set        *upstream.Set
 	dataCentre ident.DataCentre
 	warmup     Warmup
+	members    func() int
 	clock      clock.Clock
 	log        zerolog.Logger
+	lanes      lanes
 }
 
-// New returns a chooser for a VM in the data centre.
-func New(g *catalog.Catalog, s *upstream.Set, z ident.DataCentre, w Warmup, c clock.Clock, l zerolog.Logger) *Chooser {
-	return &Chooser{catalog: g, set: s, dataCentre: z, warmup: w, clock: c, log: l}
+// New returns a chooser for a VM in the data centre; members tells how many VMs there are.
+func New(g *catalog.Catalog, s *upstream.Set, z ident.DataCentre, w Warmup, members func() int, c clock.Clock,
+	l zerolog.Logger,
+) *Chooser {
+	return &Chooser{
+		catalog: g, set: s, dataCentre: z, warmup: w, members: members, clock: c, log: l,
+		lanes: lanes{all: map[ident.Service]*lane{}},
+	}
 }
 
 // Query is what a choice is made for.
@@ -97,34 +102,50 @@
 
 // Choose returns the target for one request, or why there is none.
 func (c *Chooser) Choose(ctx context.Context, q *Query) (Choice, outcome.Reason) {
+	l := c.lanes.of(q.Service.Name, c.clock.Now())
 	asked := 0
 	for {
-		l := c.eligible(q)
-		if len(l) == 0 {
-			return Choice{Asked: asked}, outcome.NoTarget
+		ok, held := l.enter(ctx, c.clock, q.Until)
+		s, n, any := (*seen)(nil), 0, true
+		if ok {
+			s, n, any = c.once(ctx, q, l)
+		}
+		if held {
+			l.leave()
 		}
-		s, n := c.look(ctx, q, l)
 		asked += n
-		if s != nil && s.room && (!s.cold || c.warmup.Take(&s.target, &q.Service)) {
-			s.upstream.Reserve()
+		switch {
+		case s != nil:
 			return Choice{Upstream: s.upstream, Conn: s.conn, Report: s.report, Asked: asked, Score: s.score}, ""
-		}
-		if s != nil {
-			s.upstream.Release(s.conn)
-		}
-		if c.clock.Now().Add(lookAgain) >= q.Until {
-			return Choice{Asked: asked}, outcome.Overload
-		}
-		t := time.NewTimer(lookAgain)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		case !any:
+			return Choice{Asked: asked}, outcome.NoTarget
+		case ctx.Err() != nil:
 			return Choice{Asked: asked}, outcome.Cancelled
-		case <-t.C:
+		case c.clock.Now() >= q.Until:
+			return Choice{Asked: asked}, outcome.Overload
 		}
 	}
 }
 
+// once looks once and reserves the target that it finds; any tells whether there is any target at all.
+func (c *Chooser) once(ctx context.Context, q *Query, l *lane) (s *seen, asked int, any bool) {
+	k := c.eligible(q)
+	if len(k) == 0 {
+		return nil, 0, false
+	}
+	s, asked = c.look(ctx, q, l, k)
+	if s != nil && s.room && (!s.cold || c.warmup.Take(&s.target, &q.Service)) {
+		l.hasRoom()
+		s.upstream.Reserve()
+		return s, asked, true
+	}
+	if s != nil {
+		s.upstream.Release(s.conn)
+	}
+	l.noRoom(c.clock.Now())
+	return nil, asked, true
+}
+
 // eligible returns the targets that may get the request. Targets without trust are left out as long as the others are at
 // least half of all.
 func (c *Chooser) eligible(q *Query) []candidate {
@@ -146,15 +167,12 @@
 	if len(usable) < len(doubtful) {
 		usable = append(usable, doubtful...)
 	}
-	warm := slices.DeleteFunc(slices.Clone(usable), func(k candidate) bool { return k.cold })
-	if len(warm) > 0 {
-		return warm
-	}
 	return usable
 }
 
 // look asks candidates, near ones first, and returns the best; the connections of the others are given back.
-func (c *Chooser) look(ctx context.Context, q *Query, l []candidate) (*seen, int) {
+func (c *Chooser) look(ctx context.Context, q *Query, n *lane, l []candidate) (*seen, int) {
+	rate := probesPerTarget * float64(len(l)) / float64(max(c.members(), 1))
 	var near, far []candidate
 	for _, k := range l {
 		if k.target.DataCentre == c.dataCentre {
@@ -163,28 +181,28 @@
 			far = append(far, k)
 		}
 	}
-	best, n := c.ask(ctx, q, sample(near, nearLooks))
+	best, asked := c.ask(ctx, q, sample(near, n.spend(c.clock.Now(), rate, min(len(near), nearLooks))))
 	if best != nil && best.room && best.score <= goodScore {
-		return best, n
+		return best, asked
 	}
-	other, m := c.ask(ctx, q, sample(far, farLooks))
-	n += m
+	other, m := c.ask(ctx, q, sample(far, n.spend(c.clock.Now(), rate, min(len(far), farLooks))))
+	asked += m
 	if other != nil {
 		other.score *= farFactor
 	}
-	b, rest := c.better(best, other)
+	b, rest := better(best, other)
 	if rest != nil {
 		rest.upstream.Release(rest.conn)
 	}
 	if b == nil && ctx.Err() == nil {
 		// Nobody told anything: health answers may be wrong where requests would succeed.
-		b = c.blind(q, l)
+		b = c.blind(l)
 	}
-	return b, n
+	return b, asked
 }
 
 // better returns the better of two and the other one.
-func (c *Chooser) better(a, b *seen) (best, rest *seen) {
+func better(a, b *seen) (best, rest *seen) {
 	switch {
 	case a == nil:
 		return b, nil
@@ -203,18 +221,10 @@
 }
 
 // blind picks the target with the fewest requests of this VM.
-func (c *Chooser) blind(q *Query, l []candidate) *seen {
-	var best *candidate
-	for _, k := range sample(l, len(l)) {
-		if best == nil || k.upstream.InFlight() < best.upstream.InFlight() {
-			best = &k
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	n := best.upstream.InFlight()
-	return &seen{candidate: *best, room: n < max(int(best.target.Slots), 1), score: 1 + float64(n)}
+func (c *Chooser) blind(l []candidate) *seen {
+	k := sample(l, 1)[0]
+	n := k.upstream.InFlight()
+	return &seen{candidate: k, room: n < int(k.target.Slots), score: 1 + float64(n)}
 }
 
 // sample returns n candidates at random, those with fewer requests of this VM first.
@@ -243,7 +253,7 @@
 		select {
 		case s := <-answers:
 			var rest *seen
-			if best, rest = c.better(best, s); rest != nil {
+			if best, rest = better(best, s); rest != nil {
 				rest.upstream.Release(rest.conn)
 			}
 			continue
--- /dev/null
+++ b/request/candidate/lane.go
@@ -0,0 +1,120 @@
+package candidate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+const (
+	// probesPerTarget is how often a second a target is asked by all VMs together. At 6 ms of a slot each, this is a
+	// tenth of one slot, and a quarter of what the platform allows.
+	probesPerTarget = 15
+	// maxSaved is how many probes a lane can save up for a burst, as seconds of its rate.
+	maxSaved = 2 * time.Second
+	// lookAgain is the pause before targets without room are asked again.
+	lookAgain = 25 * time.Millisecond
+)
+
+// lane is what the choices for one service share: the probes that they may still spend, and the order in which they look
+// while the targets have no room, so that those who wait don't load the targets further.
+type lane struct {
+	// turn holds one item, which the request that may look has taken.
+	turn chan struct{}
+
+	mu     sync.Mutex
+	saved  float64
+	at     clock.Instant
+	full   bool
+	nextAt clock.Instant
+}
+
+func newLane(now clock.Instant) *lane {
+	l := &lane{turn: make(chan struct{}, 1), at: now, saved: probesPerTarget}
+	l.turn <- struct{}{}
+	return l
+}
+
+// lanes are the lanes of all services.
+type lanes struct {
+	mu  sync.Mutex
+	all map[ident.Service]*lane
+}
+
+func (l *lanes) of(s ident.Service, now clock.Instant) *lane {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, ok := l.all[s]
+	if !ok {
+		n = newLane(now)
+		l.all[s] = n
+	}
+	return n
+}
+
+// spend takes up to n probes of the budget and returns how many there were; rate is this VM's probes a second.
+func (l *lane) spend(now clock.Instant, rate float64, n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.saved = min(l.saved+rate*now.Sub(l.at).Seconds(), max(rate*maxSaved.Seconds(), 1))
+	l.at = now
+	n = min(n, int(l.saved))
+	l.saved -= float64(n)
+	return n
+}
+
+// noRoom notes a look that found no target with room.
+func (l *lane) noRoom(now clock.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.full, l.nextAt = true, now.Add(lookAgain)
+}
+
+// hasRoom notes a look that found one.
+func (l *lane) hasRoom() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.full = false
+}
+
+func (l *lane) next() (bool, clock.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.full, l.nextAt
+}
+
+// enter waits for the turn to look if the targets had no room lately. It reports whether the turn came in time, and
+// whether it has to be given back.
+func (l *lane) enter(ctx context.Context, c clock.Clock, until clock.Instant) (ok, held bool) {
+	if full, _ := l.next(); !full {
+		return true, false
+	}
+	t := time.NewTimer(until.Sub(c.Now()))
+	defer t.Stop()
+	select {
+	case <-l.turn:
+	case <-ctx.Done():
+		return false, false
+	case <-t.C:
+		return false, false
+	}
+	if full, at := l.next(); full && at > c.Now() {
+		p := time.NewTimer(at.Sub(c.Now()))
+		defer p.Stop()
+		select {
+		case <-p.C:
+		case <-ctx.Done():
+			return false, true
+		case <-t.C:
+			return false, true
+		}
+	}
+	return true, true
+}
+
+func (l *lane) leave() {
+	l.turn <- struct{}{}
+}
