--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -70,8 +70,25 @@
 	Service route.Service
 	// Tried are the targets that had the request already.
 	Tried []ident.Target
-	// Until is when a choice that finds no room is given up.
-	Until clock.Instant
+	// Work is how long the request takes on an idle target at the usual pace; zero when that isn't known yet.
+	Work time.Duration
+	// Objective is when the answer begins to be worth less.
+	Objective clock.Instant
+	// Until is when a choice that finds no target to answer in time is given up, and Deadline when the answer is due.
+	Until, Deadline clock.Instant
+}
+
+// lateShare is the part of the time left that a target may be expected to take when none can meet the objective.
+const lateShare = 0.7
+
+// inTime reports whether a target with the score is worth its slot. One that would run into the deadline wastes it, and
+// as long as there is time to wait for a better one, so does one that would miss the objective.
+func (q *Query) inTime(now clock.Instant, score float64) bool {
+	d := time.Duration(float64(q.Work) * score)
+	if now.Add(d) <= q.Objective {
+		return true
+	}
+	return now.Add(lookAgain) >= q.Until && d <= time.Duration(lateShare*float64(q.Deadline.Sub(now)))
 }
 
 // Choice is a chosen target, reserved for one request, with a connection that has just answered if there is one.
@@ -134,7 +151,7 @@
 		return nil, 0, false
 	}
 	s, asked = c.look(ctx, q, l, k)
-	if s != nil && s.room && (!s.cold || c.warmup.Take(&s.target, &q.Service)) {
+	if s != nil && s.room && q.inTime(c.clock.Now(), s.score) && (!s.cold || c.warmup.Take(&s.target, &q.Service)) {
 		l.hasRoom()
 		s.upstream.Reserve()
 		return s, asked, true
@@ -194,8 +211,9 @@
 	if rest != nil {
 		rest.upstream.Release(rest.conn)
 	}
-	if b == nil && ctx.Err() == nil {
-		// Nobody told anything: health answers may be wrong where requests would succeed.
+	if full, _ := n.next(); b == nil && ctx.Err() == nil && !(full && asked == 0) {
+		// Nobody told anything: health answers may be wrong where requests would succeed. But targets that had no room are
+		// not sent more for lack of probes.
 		b = c.blind(l)
 	}
 	return b, asked
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -44,13 +44,14 @@
 	catalog *catalog.Catalog
 	chooser Chooser
 	budget  *retry.Window
+	work    *candidate.Work
 	clock   clock.Clock
 	log     zerolog.Logger
 }
 
 // New returns a relay.
 func New(g *catalog.Catalog, h Chooser, b *retry.Window, c clock.Clock, l zerolog.Logger) *Relay {
-	return &Relay{catalog: g, chooser: h, budget: b, clock: c, log: l}
+	return &Relay{catalog: g, chooser: h, budget: b, work: candidate.NewWork(), clock: c, log: l}
 }
 
 // attempts is the state of one request over all of its attempts.
@@ -137,6 +138,9 @@
 		Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Pace).
 		Dur("ReportAge", began.Sub(h.Report.At)).Str("End", endOf(x.Event)).Int("Status", x.Status).
 		Dur("Took", r.clock.Now().Sub(began)).Msg("attempt ended")
+	if h.Report.At != 0 && x.Status == http.StatusOK {
+		r.work.Learn(s.route.Name, h.Score, r.clock.Now().Sub(began))
+	}
 	if v, ok := x.Event.(outcome.NeverWritten); !ok || v.Reason == outcome.Unreachable {
 		s.tried = append(s.tried, u.Target.ID)
 	}
@@ -159,10 +163,14 @@
 	if o := s.route.Objective; o > 0 {
 		wait = time.Duration(waitShare * float64(o))
 	}
-	return &candidate.Query{
-		Request: s.call.ID, Service: s.service, Tried: slices.Clone(s.tried),
-		Until: min(s.started.Add(wait), s.call.Deadline),
+	q := &candidate.Query{
+		Request: s.call.ID, Service: s.service, Tried: slices.Clone(s.tried), Work: r.work.Of(s.route.Name),
+		Objective: s.call.Deadline, Until: min(s.started.Add(wait), s.call.Deadline), Deadline: s.call.Deadline,
+	}
+	if o := s.route.Objective; o > 0 {
+		q.Objective = s.started.Add(o)
 	}
+	return q
 }
 
 // judge applies the rules for retries to the end of an attempt.
