Let two members read the store for all

Now two members by hash of their name, in two data centres, watch and send digests of what they know; the others fetch what is new from them, and read for themselves when nothing was confirmed for 1.2 s, in turn.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -20,7 +20,9 @@
 	Table  *route.Table
 	Roster *roster.Roster
 	// Revisions are the store's revisions that the kinds are known as of.
-	Revisions [kinds]ident.Revision
+	Revisions [Kinds]ident.Revision
+	// Members are the VMs that have registered, also those that are gone.
+	Members []roster.Member
 	// Complete tells that each kind was listed at least once.
 	Complete bool
 }
@@ -33,19 +35,22 @@
 
 	mu      sync.Mutex
 	table   *route.Table
-	records [kinds]map[string]Record
-	asOf    [kinds]ident.Revision
+	records [Kinds]map[string]Record
+	asOf    [Kinds]ident.Revision
+	// changed is the revision of the last change of each kind, and history what changed before.
+	changed [Kinds]ident.Revision
+	history [Kinds]history
 	// absent are targets that were missing right after an outage of the store, and until when they are kept.
 	absent map[string]clock.Instant
 	// keepUntil is the end of the time in which targets that the outage has made lapse register again.
 	keepUntil clock.Instant
-	// changed is closed and replaced after each new view.
-	changed chan struct{}
+	// renewed is closed and replaced after each new view.
+	renewed chan struct{}
 }
 
 // New returns an empty catalog.
 func New(c clock.Clock, l zerolog.Logger) *Catalog {
-	g := &Catalog{clock: c, log: l, absent: map[string]clock.Instant{}, changed: make(chan struct{})}
+	g := &Catalog{clock: c, log: l, absent: map[string]clock.Instant{}, renewed: make(chan struct{})}
 	g.view.Store(&View{Roster: roster.New(nil, nil)})
 	return g
 }
@@ -59,7 +64,7 @@
 func (g *Catalog) Changed() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.changed
+	return g.renewed
 }
 
 // Regained notes that the store answers again after an outage. Targets that lapsed meanwhile have the given time to
@@ -67,7 +72,14 @@
 func (g *Catalog) Regained(keep time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.keepUntil = g.clock.Now().Add(keep)
+	g.keepUntil = max(g.keepUntil, g.clock.Now().Add(keep))
+}
+
+// Keep returns how long missing targets are still to be kept.
+func (g *Catalog) Keep() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.keepUntil.Sub(g.clock.Now()), 0)
 }
 
 // Replace takes a whole listing of a kind.
@@ -82,16 +94,25 @@
 	for _, r := range records {
 		n[r.Name] = r
 		g.note(k, r, old)
+		delete(g.absent, r.Name)
 	}
 	for name, r := range old {
 		if _, ok := n[name]; !ok && !g.keep(k, r, n) {
 			g.gone(k, r)
 		}
 	}
+	if g.records[k] == nil || !sameRevisions(old, n) {
+		g.changed[k] = asOf
+		g.history[k].reset(asOf)
+	}
 	g.records[k], g.asOf[k] = n, asOf
 	g.publish()
 }
 
+func sameRevisions(a, b map[string]Record) bool {
+	return maps.EqualFunc(a, b, func(x, y Record) bool { return x.Revision == y.Revision })
+}
+
 // Apply takes the changes of a kind since the revision that it is known as of.
 func (g *Catalog) Apply(k Kind, b Batch) {
 	g.mu.Lock()
@@ -117,7 +138,8 @@
 			g.gone(k, r)
 		}
 	}
-	g.records[k], g.asOf[k] = n, b.AsOf
+	g.records[k], g.asOf[k], g.changed[k] = n, b.AsOf, b.AsOf
+	g.history[k].add(b)
 	g.publish()
 }
 
@@ -181,6 +203,8 @@
 		e.Uint64("Version", uint64(v.Table.Version)).Int("Routes", v.Table.Routes()).Msg("configuration read")
 	case Evacuation:
 		e.Msg("data centre taken out")
+	case Membership:
+		e.Str("Address", string(v.Member.Address)).Msg("member registered")
 	case Unreadable:
 		e.Err(v.Err).Msg("object can't be used")
 	}
@@ -194,7 +218,7 @@
 // publish makes a view of the records. The table never goes back to an older version.
 func (g *Catalog) publish() {
 	v := &View{Revisions: g.asOf, Complete: true}
-	for k := range kinds {
+	for k := range Kinds {
 		v.Complete = v.Complete && g.records[k] != nil
 	}
 	for _, r := range g.records[Configurations] {
@@ -210,6 +234,11 @@
 		}
 	}
 	var out []ident.DataCentre
+	for _, r := range g.records[Members] {
+		if e, ok := r.Entry.(Membership); ok {
+			v.Members = append(v.Members, e.Member)
+		}
+	}
 	for _, r := range g.records[Evacuations] {
 		if e, ok := r.Entry.(Evacuation); ok {
 			out = append(out, e.DataCentre)
@@ -217,6 +246,6 @@
 	}
 	v.Roster = roster.New(targets, out)
 	g.view.Store(v)
-	close(g.changed)
-	g.changed = make(chan struct{})
+	close(g.renewed)
+	g.renewed = make(chan struct{})
 }
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -18,12 +18,12 @@
 	// listTimeout bounds one page of a listing; the store answers in milliseconds, and in a quarter of a second when slow.
 	listTimeout = time.Second
 	// watchSlack is how much longer than its own wait a watch may take.
-	watchSlack = time.Second
-	// pulseWait is the wait of the one watch that also shows whether the store answers at all. It has to end within the
-	// time in which the operators expect a regained VM to be up to date, 3 s.
-	pulseWait = 2500 * time.Millisecond
+	watchSlack = 700 * time.Millisecond
+	// pulseWait is the wait of the one watch that also shows whether the store answers at all. Together with the slack it
+	// stays well within the 2 s in which a change is to be in force.
+	pulseWait = 800 * time.Millisecond
 	// quietWait is the wait of the other watches.
-	quietWait = 15 * time.Second
+	quietWait = 20 * time.Second
 	// batchPause lets changes gather before the next watch; it is taken from the 2 s in which a change is to be in force.
 	batchPause = 400 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
@@ -35,9 +35,11 @@
 	lapseGrace = 2200 * time.Millisecond
 	// sweepPause is how often targets that were kept after an outage are looked at.
 	sweepPause = 200 * time.Millisecond
+	// missedAfter is how long a watch may lag behind the store's revision before it is asked for again.
+	missedAfter = 500 * time.Millisecond
 )
 
-// Follower keeps a catalog up to date; one goroutine for each kind.
+// Follower reads the store into a catalog while this VM is to read it; a goroutine for each kind.
 type Follower struct {
 	catalog *Catalog
 	source  Source
@@ -45,62 +47,93 @@
 	log     zerolog.Logger
 
 	mu sync.Mutex
+	// stop ends the reading under way; nil while this VM does not read.
+	stop context.CancelFunc
 	// lostAt is when the store stopped answering; zero while it answers.
 	lostAt   clock.Instant
 	failures int
-	// restart ends the watches under way, so that each kind is listed again.
+	// confirmed is when the store last answered the pulse.
+	confirmed clock.Instant
+	// restart ends the watches under way, so that each kind is asked for again.
 	restart chan struct{}
+	// missed is the newest revision of the store that a kind may have missed, since when, and the one that was looked into.
+	missed   ident.Revision
+	missedAt clock.Instant
+	cleared  ident.Revision
 }
 
-// NewFollower returns a follower that reads from the source.
+// NewFollower returns a follower that does not read yet.
 func NewFollower(g *Catalog, s Source, c clock.Clock, l zerolog.Logger) *Follower {
 	return &Follower{catalog: g, source: s, clock: c, log: l, restart: make(chan struct{})}
 }
 
-// Run follows all kinds until the context ends.
+// Run drops targets that stay away after an outage, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	var w sync.WaitGroup
-	for k := range kinds {
-		w.Go(func() { f.follow(ctx, k) })
+	for ctx.Err() == nil {
+		sleep(ctx, sweepPause)
+		f.catalog.Sweep()
 	}
-	w.Go(func() { f.sweep(ctx) })
-	w.Wait()
+	f.Stop("process ends")
 }
 
-// Refresh makes every kind be listed again at once; the caller has heard that the store is ahead.
-func (f *Follower) Refresh() {
+// Start begins to read the store; it does nothing when the store is read already.
+func (f *Follower) Start(ctx context.Context, why string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.restart)
-	f.restart = make(chan struct{})
+	if f.stop != nil {
+		return
+	}
+	ctx, f.stop = context.WithCancel(ctx)
+	f.log.Info().Str("Why", why).Msg("reads the store")
+	for k := range Kinds {
+		go f.follow(ctx, k)
+	}
 }
 
-func (f *Follower) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, sweepPause)
-		f.catalog.Sweep()
+// Stop ends the reading.
+func (f *Follower) Stop(why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop == nil {
+		return
 	}
+	f.stop()
+	f.stop, f.lostAt, f.failures = nil, 0, 0
+	f.log.Info().Str("Why", why).Msg("reads the store no more")
+}
+
+// Reading reports whether this VM reads the store, and when the store last confirmed what is known.
+func (f *Follower) Reading() (bool, clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stop != nil, f.confirmed
 }
 
 func (f *Follower) follow(ctx context.Context, k Kind) {
+	_, asOf := f.catalog.Revisions()
+	since := asOf[k]
 	for ctx.Err() == nil {
-		since, err := f.list(ctx, k)
-		f.report(k, err)
-		if err != nil {
-			f.pause(ctx, k)
-			continue
+		f.waitForStore(ctx, k)
+		if since == 0 {
+			var err error
+			if since, err = f.List(ctx, k, Current); err != nil {
+				f.report(ctx, k, err)
+				f.pause(ctx)
+				continue
+			}
+			f.report(ctx, k, nil)
 		}
-		f.watch(ctx, k, since)
+		since = f.watch(ctx, k, since)
 	}
 }
 
-// list reads all pages of a kind.
-func (f *Follower) list(ctx context.Context, k Kind) (ident.Revision, error) {
+// List reads all pages of a kind into the catalog and returns the revision that they show.
+func (f *Follower) List(ctx context.Context, k Kind, s Freshness) (ident.Revision, error) {
 	var records []Record
 	var asOf ident.Revision
 	after := ""
 	for {
-		p, err := f.page(ctx, k, after)
+		p, err := f.page(ctx, k, after, s)
 		if err != nil {
 			return 0, err
 		}
@@ -118,14 +151,15 @@
 	return asOf, nil
 }
 
-func (f *Follower) page(ctx context.Context, k Kind, after string) (Page, error) {
+func (f *Follower) page(ctx context.Context, k Kind, after string, s Freshness) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return f.source.List(ctx, k, after)
+	return f.source.List(ctx, k, after, s)
 }
 
-// watch follows the changes of a kind until it has to be listed again.
-func (f *Follower) watch(ctx context.Context, k Kind, since ident.Revision) {
+// watch follows the changes of a kind until it fails, and returns the revision to go on from; zero means that the kind
+// has to be listed again.
+func (f *Follower) watch(ctx context.Context, k Kind, since ident.Revision) ident.Revision {
 	wait := quietWait
 	if k == Configurations {
 		wait = pulseWait
@@ -133,27 +167,31 @@
 	for ctx.Err() == nil {
 		b, err := f.next(ctx, k, since, wait)
 		if errors.Is(err, errRestart) {
-			return
+			return since
 		}
 		if errors.Is(err, ErrHistoryGone) {
 			f.log.Info().Str("Kind", k.String()).Uint64("Since", uint64(since)).Msg("history is gone, listing again")
-			return
+			return 0
 		}
-		f.report(k, err)
+		f.report(ctx, k, err)
 		if err != nil {
-			f.pause(ctx, k)
-			return
+			f.pause(ctx)
+			return since
 		}
 		since = b.AsOf
 		f.catalog.Apply(k, b)
+		if k == Configurations {
+			f.checkMissed(b.AsOf)
+		}
 		if len(b.Changes) > 0 {
 			sleep(ctx, batchPause)
 		}
 	}
+	return since
 }
 
 // errRestart means that a watch was ended by this process.
-var errRestart = errors.New("catalog: watch ended for a new listing")
+var errRestart = errors.New("catalog: watch ended to be asked for again")
 
 func (f *Follower) next(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
@@ -183,13 +221,49 @@
 	return b, err
 }
 
+// checkMissed compares the store's revision with what the kinds are known as of. A watch that says nothing of a newer
+// revision for long has missed it, or the revision is of a kind that isn't followed: each is looked into once.
+func (f *Follower) checkMissed(store ident.Revision) {
+	_, asOf := f.catalog.Revisions()
+	known := ident.Revision(0)
+	for k, r := range asOf {
+		if Kind(k) != Configurations {
+			known = max(known, r)
+		}
+	}
+	changed, _ := f.catalog.Revisions()
+	known = max(known, changed[Configurations])
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if known >= f.missed {
+		f.missed = 0
+	}
+	switch {
+	case store <= known || store <= f.cleared:
+	case f.missed == 0:
+		f.missed, f.missedAt = store, now
+	case now.Sub(f.missedAt) >= missedAfter:
+		f.cleared, f.missed = store, 0
+		f.log.Info().Uint64("Store", uint64(store)).Uint64("Known", uint64(known)).Msg("watches may have missed a change")
+		close(f.restart)
+		f.restart = make(chan struct{})
+	}
+}
+
 // report notes whether the store answers. The first failure ends the other watches too, since a store that fell silent
 // leaves them waiting.
-func (f *Follower) report(k Kind, err error) {
+func (f *Follower) report(ctx context.Context, k Kind, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	now := f.clock.Now()
 	if err == nil {
+		if k == Configurations {
+			f.confirmed = now
+		}
 		if f.lostAt == 0 {
 			return
 		}
@@ -210,12 +284,16 @@
 	}
 }
 
-// pause waits after a failure. While the store is lost only one kind asks, so that an outage costs few calls.
-func (f *Follower) pause(ctx context.Context, k Kind) {
+// pause waits after a failure, longer after each.
+func (f *Follower) pause(ctx context.Context) {
 	f.mu.Lock()
 	d := min(minPause<<min(f.failures, 4), maxPause)
 	f.mu.Unlock()
 	sleep(ctx, d/2+rand.N(d/2))
+}
+
+// waitForStore holds all kinds but one back while the store is lost, so that an outage costs few calls.
+func (f *Follower) waitForStore(ctx context.Context, k Kind) {
 	for k != Configurations && ctx.Err() == nil && f.lost() {
 		sleep(ctx, minPause/2)
 	}
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -21,10 +21,12 @@
 	Configurations Kind = iota
 	Targets
 	Evacuations
-	kinds
+	Members
+	// Kinds is how many there are.
+	Kinds
 )
 
-var kindNames = [kinds]string{"configurations", "targets", "evacuations"}
+var kindNames = [Kinds]string{"configurations", "targets", "evacuations", "members"}
 
 // String names the kind for logs.
 func (k Kind) String() string {
@@ -45,12 +47,16 @@
 // Evacuation takes a data centre out as long as it exists.
 type Evacuation struct{ DataCentre ident.DataCentre }
 
+// Membership is a VM of the system.
+type Membership struct{ Member roster.Member }
+
 // Unreadable is an object from which nothing can be used.
 type Unreadable struct{ Err error }
 
 func (Configuration) entry() {}
 func (Registration) entry()  {}
 func (Evacuation) entry()    {}
+func (Membership) entry()    {}
 func (Unreadable) entry()    {}
 
 // Record is one object of a kind.
@@ -58,6 +64,8 @@
 	Name     string
 	Revision ident.Revision
 	Entry    Entry
+	// Raw is the object as the store holds it, for other members.
+	Raw []byte
 }
 
 // Change is a record as it is after a change, or the last state of one that was deleted.
@@ -80,10 +88,25 @@
 	AsOf    ident.Revision
 }
 
+// Freshness is how current an answer of the store has to be.
+type Freshness int
+
+// The kinds of freshness.
+const (
+	// Current answers show every change that was acknowledged before.
+	Current Freshness = iota
+	// Stale answers cost less and may be seconds old.
+	Stale
+)
+
 // Source reads objects from the store; every call may fail, hang until the context ends, or lose its answer.
 type Source interface {
 	// List returns the records of a kind whose names follow the given one.
-	List(ctx context.Context, k Kind, after string) (Page, error)
+	List(ctx context.Context, k Kind, after string, f Freshness) (Page, error)
 	// Watch waits for changes after a revision, at most for the given time; it fails with ErrHistoryGone.
 	Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error)
+	// Decode reads an object as the store holds it.
+	Decode(k Kind, raw []byte) (Record, error)
+	// Register writes the entry of a member, replacing an older one.
+	Register(ctx context.Context, m roster.Member) error
 }
--- /dev/null
+++ b/process/fleet/fleet.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/process/ring"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+)
+
+const (
+	// readers is how many members read the store while all is well: one may be lost at any time.
+	readers = 2
+	// digestEvery is the pause between two digests of a reader without news.
+	digestEvery = 300 * time.Millisecond
+	// heardFor is how long a reader counts as there after its last digest; datagrams are lost now and then.
+	heardFor = time.Second
+	// staleAfter is how long after the last confirmation of the store a member reads for itself. It leaves time to read
+	// within the 2 s in which a change is to be in force.
+	staleAfter = 1200 * time.Millisecond
+	// turns is the span over which the members that hear nothing begin to read, one after the other.
+	turns = 600 * time.Millisecond
+	// firstTurns is the same for a fleet that starts for the first time, when nobody knows anybody.
+	firstTurns = 2 * time.Second
+	// minReading is how long a member reads at least once it has begun, so that readers don't change all the time.
+	minReading = 3 * time.Second
+	// tick is how often a member looks whether it should read.
+	tick = 50 * time.Millisecond
+	// registerPause is the pause after a failed registration.
+	registerPause = time.Second
+)
+
+// heard is the last digest of a reader.
+type heard struct {
+	at clock.Instant
+	// confirmed is when the store confirmed to the reader what it tells.
+	confirmed clock.Instant
+}
+
+// Fleet is this VM's part in reading the store; it is safe for concurrent use.
+type Fleet struct {
+	self     roster.Member
+	catalog  *catalog.Catalog
+	follower *catalog.Follower
+	source   catalog.Source
+	clock    clock.Clock
+	log      zerolog.Logger
+
+	// fetch holds the readers that have news.
+	fetch *ring.Ring[ident.Address]
+
+	mu    sync.Mutex
+	conn  *net.UDPConn
+	heard map[ident.VM]heard
+	// confirmed is when the store last confirmed what this VM knows, directly or through a reader.
+	confirmed clock.Instant
+	// short is since when fewer readers were heard than there should be; zero while there are enough.
+	short clock.Instant
+	since clock.Instant
+}
+
+// New returns the part of a member in a fleet.
+func New(m roster.Member, g *catalog.Catalog, f *catalog.Follower, s catalog.Source, c clock.Clock, l zerolog.Logger,
+) *Fleet {
+	return &Fleet{
+		self: m, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[ident.Address](4),
+		heard: map[ident.VM]heard{},
+	}
+}
+
+// Run takes part in the fleet until the context ends; it fails when the address can't be listened on.
+func (f *Fleet) Run(ctx context.Context) error {
+	a, err := net.ResolveUDPAddr("udp", string(f.self.Address))
+	if err != nil {
+		return err
+	}
+	u, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.conn = u
+	f.mu.Unlock()
+	l, err := net.Listen("tcp", string(f.self.Address))
+	if err != nil {
+		return errors.Join(err, u.Close())
+	}
+	go f.receive(u)
+	go f.serve(ctx, l)
+	go f.fetchNews(ctx)
+	go f.announce(ctx)
+	go f.register(ctx)
+	f.mind(ctx)
+	return errors.Join(u.Close(), l.Close())
+}
+
+// Members returns how many VMs there are, as far as is known.
+func (f *Fleet) Members() int {
+	return max(len(f.catalog.Get().Members), 1)
+}
+
+// Sponsors returns how many members share the starts at a cold target, or zero when this VM isn't one of them.
+func (f *Fleet) Sponsors(t ident.Target) int {
+	return sponsorsOf(f.catalog.Get().Members, f.self.Name, t)
+}
+
+// Confirmed returns when the store last confirmed what this VM knows; zero if it never did.
+func (f *Fleet) Confirmed() clock.Instant {
+	_, own := f.follower.Reading()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.confirmed, own)
+}
+
+// mind decides again and again whether this VM reads the store.
+func (f *Fleet) mind(ctx context.Context) {
+	started := f.clock.Now()
+	f.prime(ctx)
+	for ctx.Err() == nil {
+		f.decide(ctx, started)
+		sleep(ctx, tick)
+	}
+}
+
+// prime reads what the store holds, at the low price of an answer that may be old, so that the members are known.
+func (f *Fleet) prime(ctx context.Context) {
+	for k := range catalog.Kinds {
+		if _, err := f.follower.List(ctx, k, catalog.Stale); err != nil {
+			f.log.Warn().Str("Kind", k.String()).Err(err).Msg("store not read at the start")
+			return
+		}
+	}
+}
+
+func (f *Fleet) decide(ctx context.Context, started clock.Instant) {
+	now := f.clock.Now()
+	reading, _ := f.follower.Reading()
+	why := f.shouldRead(now, started)
+	f.mu.Lock()
+	since := f.since
+	f.mu.Unlock()
+	switch {
+	case why != "" && !reading:
+		f.follower.Start(ctx, why)
+		f.mu.Lock()
+		f.since = now
+		f.mu.Unlock()
+	case why == "" && reading && now.Sub(since) >= minReading:
+		f.follower.Stop("enough others read")
+	}
+}
+
+// shouldRead returns why this VM has to read the store, empty if it need not.
+func (f *Fleet) shouldRead(now, started clock.Instant) string {
+	members := f.catalog.Get().Members
+	n := max(len(members), 1)
+	r := rank(members, f.self.Name)
+	confirmed := f.Confirmed()
+	ahead := f.ahead(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r < min(readers, len(members)) {
+		return "one of the first members"
+	}
+	if ahead < readers {
+		if f.short == 0 {
+			f.short = now
+		}
+	} else {
+		f.short = 0
+	}
+	turn := time.Duration(float64(turns) * float64(r) / float64(n))
+	if confirmed == 0 && now.Sub(started) < firstTurns+staleAfter {
+		if r >= len(members) {
+			// Nobody has registered yet, so the order is by the hash alone.
+			turn = time.Duration(float64(firstTurns) * float64(hash(string(f.self.Name))>>32) / (1 << 32))
+		}
+		if now.Sub(started) >= turn && ahead == 0 {
+			return "no reader heard since the start"
+		}
+		return ""
+	}
+	if now.Sub(max(confirmed, started)) >= staleAfter+turn {
+		return "nothing confirmed in time"
+	}
+	if f.short != 0 && now.Sub(f.short) >= heardFor+2*turn {
+		return "too few readers heard"
+	}
+	return ""
+}
+
+// ahead counts the readers that were heard lately with a confirmation that is not stale.
+func (f *Fleet) ahead(now clock.Instant) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, h := range f.heard {
+		if now.Sub(h.at) < heardFor && now.Sub(h.confirmed) < heardFor+staleAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// register writes this VM's entry into the store, unless it stands there already.
+func (f *Fleet) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.catalog.Get().Complete {
+			if f.registered() {
+				return
+			}
+			c, cancel := context.WithTimeout(ctx, registerPause)
+			err := f.source.Register(c, f.self)
+			cancel()
+			if err == nil {
+				f.log.Info().Msg("registered as a member")
+				return
+			}
+			f.log.Warn().Err(err).Msg("not registered as a member yet")
+		}
+		sleep(ctx, registerPause)
+	}
+}
+
+func (f *Fleet) registered() bool {
+	for _, m := range f.catalog.Get().Members {
+		if m == f.self {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/process/fleet/rank.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+)
+
+// rank orders members by hash and returns the place of a VM, or the number of members when it isn't one. The second
+// place goes to the first member in another data centre than that of the first, so that the loss of one leaves a reader.
+func rank(l []roster.Member, self ident.VM) int {
+	l = slices.Clone(l)
+	slices.SortFunc(l, func(a, b roster.Member) int {
+		return cmp.Or(cmp.Compare(hash(string(a.Name)), hash(string(b.Name))), cmp.Compare(a.Name, b.Name))
+	})
+	for i := range l {
+		if i > 0 && l[i].DataCentre != l[0].DataCentre {
+			m := l[i]
+			l = slices.Insert(slices.Delete(l, i, i+1), 1, m)
+			break
+		}
+	}
+	for i := range l {
+		if l[i].Name == self {
+			return i
+		}
+	}
+	return len(l)
+}
+
+func hash(s string) uint64 {
+	return xxhash.Sum64String(s)
+}
+
+// sponsors is how many members may start requests at one target in a cold start. Three leave two when one is gone, and
+// each one's share of the rate is large enough to be of use.
+const sponsors = 3
+
+// Sponsors returns how many members share the starts at a cold target, or zero when the VM isn't one of them.
+func sponsorsOf(l []roster.Member, self ident.VM, t ident.Target) int {
+	mine := hash(string(t) + "/" + string(self))
+	before := 0
+	found := false
+	for _, m := range l {
+		if m.Name == self {
+			found = true
+			continue
+		}
+		if hash(string(t)+"/"+string(m.Name)) < mine {
+			before++
+		}
+	}
+	if !found || before >= sponsors {
+		return 0
+	}
+	return min(sponsors, len(l))
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -25,10 +25,12 @@
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
 	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/process/fleet"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
 	"github.com/amaranthramp/amaranthramp/request/relay"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/request/warmup"
+	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
 const (
@@ -38,8 +40,6 @@
 	// gcPercent lets the heap grow to five times what is live: the process holds little, and each collection takes
 	// processor time from the requests in flight.
 	gcPercent = 400
-	// assumedMembers is the number of VMs that a fleet is taken to have at most while its size isn't known.
-	assumedMembers = 13
 )
 
 // Gateway is the process of one VM.
@@ -49,6 +49,7 @@
 	log      zerolog.Logger
 	catalog  *catalog.Catalog
 	follower *catalog.Follower
+	fleet    *fleet.Fleet
 	set      *upstream.Set
 	relay    *relay.Relay
 	registry *prometheus.Registry
@@ -64,11 +65,13 @@
 ) *Gateway {
 	g := catalog.New(c, l)
 	set := upstream.NewSet(c, l, h, pool.DialTCP)
-	w := warmup.New(c, func(ident.Target) int { return assumedMembers })
-	b := retry.NewWindow(c, s.Retry.Share, s.Retry.Slack/assumedMembers, s.Retry.Window)
+	r := catalog.NewFollower(g, src, c, l)
+	f := fleet.New(roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre}, g, r, src, c, l)
+	w := warmup.New(c, f.Sponsors)
+	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
-		settings: s, clock: c, log: l, catalog: g, follower: catalog.NewFollower(g, src, c, l), set: set,
-		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, func() int { return assumedMembers }, c, l), b, c, l),
+		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, set: set,
+		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, f.Members, c, l), b, c, l),
 		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
@@ -95,7 +98,7 @@
 		}},
 		{g.settings.OperatorAddress, &http.Server{Handler: g.operators(), ReadHeaderTimeout: defaultHeaderTimeout}},
 	}
-	failed := make(chan error, len(servers))
+	failed := make(chan error, len(servers)+1)
 	for _, s := range servers {
 		l, err := net.Listen("tcp", string(s.address))
 		if err != nil {
@@ -106,6 +109,11 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go g.follower.Run(life)
+	go func() {
+		if err := g.fleet.Run(life); err != nil {
+			failed <- err
+		}
+	}()
 	go g.followRoster(life)
 	go g.reload(life)
 	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
@@ -149,7 +157,7 @@
 
 // ready answers whether this VM takes new connections.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() || !g.catalog.Get().Complete {
+	if g.draining.Load() || !g.catalog.Get().Complete || g.fleet.Confirmed() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -16,7 +16,7 @@
 type Window struct {
 	clock clock.Clock
 	share ident.Share
-	slack float64
+	slack func() float64
 	part  time.Duration
 
 	mu       sync.Mutex
@@ -31,7 +31,7 @@
 }
 
 // NewWindow returns a window of the given length; slack is what this VM may retry beyond the share.
-func NewWindow(c clock.Clock, share ident.Share, slack float64, length time.Duration) *Window {
+func NewWindow(c clock.Clock, share ident.Share, slack func() float64, length time.Duration) *Window {
 	return &Window{
 		clock: c, share: share, slack: slack, part: length / slices, services: map[ident.Service]*counts{},
 	}
@@ -58,7 +58,7 @@
 			requests += c.requests[i]
 		}
 	}
-	if float64(retries+1) > float64(w.share)*float64(requests)+w.slack {
+	if float64(retries+1) > float64(w.share)*float64(requests)+w.slack() {
 		return false
 	}
 	c.retries[c.at%(slices+1)]++
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -23,6 +23,14 @@
 	Born int64
 }
 
+// Member is one VM of the system, as it has registered itself.
+type Member struct {
+	Name ident.VM
+	// Address takes datagrams and connections of the other members.
+	Address    ident.Address
+	DataCentre ident.DataCentre
+}
+
 // Roster is one state of the register; it is never changed after New.
 type Roster struct {
 	services map[ident.Service][]Target
