--- a/connection/exchange/direct.go
+++ b/connection/exchange/direct.go
@@ -71,13 +71,14 @@
 	if !stop() {
 		keep = false
 	}
-	if err != nil || !keep {
-		d.pool.Discard(n)
-		n = nil
-	}
 	if err != nil {
+		d.pool.Discard(n)
 		return Report{}, nil, fmt.Errorf("probe %s: %w", d.target, err)
 	}
+	if !keep {
+		d.pool.Discard(n)
+		return r, nil, nil
+	}
 	return r, n, nil
 }
 
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -96,6 +96,9 @@
 		g.note(k, r, old)
 		delete(g.absent, r.Name)
 	}
+	if old == nil {
+		g.log.Info().Str("Kind", k.String()).Int("Records", len(n)).Uint64("AsOf", uint64(asOf)).Msg("first listing read")
+	}
 	for name, r := range old {
 		if _, ok := n[name]; !ok && !g.keep(k, r, n) {
 			g.gone(k, r)
@@ -186,6 +189,10 @@
 
 // note logs what a record changes.
 func (g *Catalog) note(k Kind, r Record, old map[string]Record) {
+	if old == nil && k != Configurations {
+		// The first listing is told in one line.
+		return
+	}
 	o, known := old[r.Name]
 	if known && o.Revision == r.Revision {
 		return
@@ -204,7 +211,7 @@
 	case Evacuation:
 		e.Msg("data centre taken out")
 	case Membership:
-		e.Str("Address", string(v.Member.Address)).Msg("member registered")
+		g.log.Debug().Str("Name", r.Name).Str("Address", string(v.Member.Address)).Msg("member registered")
 	case Unreadable:
 		e.Err(v.Err).Msg("object can't be used")
 	}
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -22,6 +22,8 @@
 	// pulseWait is the wait of the one watch that also shows whether the store answers at all. Together with the slack it
 	// stays well within the 2 s in which a change is to be in force.
 	pulseWait = 800 * time.Millisecond
+	// firstWait is the wait of the first pulse of a reader, whose members wait for its word.
+	firstWait = time.Millisecond
 	// quietWait is the wait of the other watches.
 	quietWait = 20 * time.Second
 	// batchPause lets changes gather before the next watch; it is taken from the 2 s in which a change is to be in force.
@@ -161,10 +163,13 @@
 // has to be listed again.
 func (f *Follower) watch(ctx context.Context, k Kind, since ident.Revision) ident.Revision {
 	wait := quietWait
-	if k == Configurations {
-		wait = pulseWait
-	}
 	for ctx.Err() == nil {
+		if _, confirmed := f.Reading(); k == Configurations {
+			wait = pulseWait
+			if f.clock.Now().Sub(confirmed) > pulseWait+watchSlack {
+				wait = firstWait
+			}
+		}
 		b, err := f.next(ctx, k, since, wait)
 		if errors.Is(err, errRestart) {
 			return since
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -28,8 +28,18 @@
 	staleAfter = 1200 * time.Millisecond
 	// turns is the span over which the members that hear nothing begin to read, one after the other.
 	turns = 600 * time.Millisecond
+	// knownTurn comes before the turns of members that start again in a fleet that knows itself: time for the first two to
+	// read.
+	knownTurn = 600 * time.Millisecond
+	// behindGrace is added to staleAfter for a member that hears of news and is fetching it.
+	behindGrace = 300 * time.Millisecond
 	// firstTurns is the same for a fleet that starts for the first time, when nobody knows anybody.
 	firstTurns = 2 * time.Second
+	// firstPause comes before the first of these turns: time to register, so that a reader knows whom to tell.
+	firstPause = 500 * time.Millisecond
+	// startGrace is how long a member that has just started waits for a reader instead of staleAfter: it isn't ready yet,
+	// and all may have started at once.
+	startGrace = 4 * time.Second
 	// minReading is how long a member reads at least once it has begun, so that readers don't change all the time.
 	minReading = 3 * time.Second
 	// tick is how often a member looks whether it should read.
@@ -54,6 +64,8 @@
 	clock    clock.Clock
 	log      zerolog.Logger
 
+	// encoded is the news that was last encoded; many members ask for the same.
+	encoded encodedNews
 	// fetch holds the readers that have news.
 	fetch *ring.Ring[ident.Address]
 
@@ -64,7 +76,10 @@
 	confirmed clock.Instant
 	// short is since when fewer readers were heard than there should be; zero while there are enough.
 	short clock.Instant
+	// since is when this VM began to read.
 	since clock.Instant
+	// known tells that the fleet had members before this VM started.
+	known bool
 }
 
 // New returns the part of a member in a fleet.
@@ -97,7 +112,6 @@
 	go f.serve(ctx, l)
 	go f.fetchNews(ctx)
 	go f.announce(ctx)
-	go f.register(ctx)
 	f.mind(ctx)
 	return errors.Join(u.Close(), l.Close())
 }
@@ -135,9 +149,13 @@
 	for k := range catalog.Kinds {
 		if _, err := f.follower.List(ctx, k, catalog.Stale); err != nil {
 			f.log.Warn().Str("Kind", k.String()).Err(err).Msg("store not read at the start")
-			return
+			break
 		}
 	}
+	f.mu.Lock()
+	f.known = len(f.catalog.Get().Members) > 1
+	f.mu.Unlock()
+	go f.register(ctx)
 }
 
 func (f *Fleet) decide(ctx context.Context, started clock.Instant) {
@@ -167,7 +185,7 @@
 	ahead := f.ahead(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r < min(readers, len(members)) {
+	if r < min(readers, len(members)) && (f.known || confirmed != 0) {
 		return "one of the first members"
 	}
 	if ahead < readers {
@@ -178,16 +196,19 @@
 		f.short = 0
 	}
 	turn := time.Duration(float64(turns) * float64(r) / float64(n))
-	if confirmed == 0 && now.Sub(started) < firstTurns+staleAfter {
-		if r >= len(members) {
+	if confirmed == 0 && now.Sub(started) < startGrace {
+		if r >= len(members) || !f.known {
 			// Nobody has registered yet, so the order is by the hash alone.
-			turn = time.Duration(float64(firstTurns) * float64(hash(string(f.self.Name))>>32) / (1 << 32))
+			turn = firstPause + time.Duration(float64(firstTurns)*float64(hash(string(f.self.Name))>>32)/(1<<32))
 		}
-		if now.Sub(started) >= turn && ahead == 0 {
+		if now.Sub(started) >= knownTurn+turn && ahead == 0 {
 			return "no reader heard since the start"
 		}
 		return ""
 	}
+	if ahead > 0 {
+		turn += behindGrace
+	}
 	if now.Sub(max(confirmed, started)) >= staleAfter+turn {
 		return "nothing confirmed in time"
 	}
@@ -212,20 +233,15 @@
 
 // register writes this VM's entry into the store, unless it stands there already.
 func (f *Fleet) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if f.catalog.Get().Complete {
-			if f.registered() {
-				return
-			}
-			c, cancel := context.WithTimeout(ctx, registerPause)
-			err := f.source.Register(c, f.self)
-			cancel()
-			if err == nil {
-				f.log.Info().Msg("registered as a member")
-				return
-			}
-			f.log.Warn().Err(err).Msg("not registered as a member yet")
+	for ctx.Err() == nil && !f.registered() {
+		c, cancel := context.WithTimeout(ctx, registerPause)
+		err := f.source.Register(c, f.self)
+		cancel()
+		if err == nil {
+			f.log.Info().Msg("registered as a member")
+			return
 		}
+		f.log.Warn().Err(err).Msg("not registered as a member yet")
 		sleep(ctx, registerPause)
 	}
 }
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,7 +22,10 @@
 const methodNews = "Fleet.News"
 
 // newsTimeout bounds one call: a reader that takes longer is passed over for the next that sends a digest.
-const newsTimeout = 500 * time.Millisecond
+const newsTimeout = time.Second
+
+// spreadPerMember is the span, for each member, over which the fetches after one digest are spread.
+const spreadPerMember = time.Millisecond
 
 // serve answers other members until the listener is closed.
 func (f *Fleet) serve(ctx context.Context, l net.Listener) {
@@ -42,11 +47,30 @@
 	if err := protojson.Unmarshal(*r.Params, q); err != nil || len(q.GetAsOf()) != int(catalog.Kinds) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revisions are missing"}
 	}
-	b, err := protojson.Marshal(f.news(q))
-	if err != nil {
-		return nil, fmt.Errorf("encode news: %w", err)
+	return f.encode(q)
+}
+
+// encodedNews is the answer to one question at one state of the catalog.
+type encodedNews struct {
+	mu   sync.Mutex
+	key  string
+	news json.RawMessage
+}
+
+// encode returns the news since the revisions, encoded once for all that ask the same before the next change.
+func (f *Fleet) encode(q *wire.Since) (json.RawMessage, error) {
+	changed, _ := f.catalog.Revisions()
+	e := &f.encoded
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if k := fmt.Sprint(q.GetAsOf(), changed); k != e.key || f.catalog.Keep() > 0 {
+		b, err := protojson.Marshal(f.news(q))
+		if err != nil {
+			return nil, fmt.Errorf("encode news: %w", err)
+		}
+		e.key, e.news = k, b
 	}
-	return json.RawMessage(b), nil
+	return e.news, nil
 }
 
 // news collects what has changed since the revisions that another member has.
@@ -78,6 +102,7 @@
 		case <-ctx.Done():
 			return
 		case a := <-f.fetch.Out():
+			sleep(ctx, rand.N(time.Duration(f.Members())*spreadPerMember+1))
 			if err := f.fetchFrom(ctx, conns, a); err != nil {
 				f.log.Warn().Str("From", string(a)).Err(err).Msg("news not fetched")
 			}
--- a/process/fleet/rank.go
+++ b/process/fleet/rank.go
@@ -10,12 +10,12 @@
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
-// rank orders members by hash and returns the place of a VM, or the number of members when it isn't one. The second
+// rank orders members by their capacity, then by hash, and returns the place of a VM, or the number of members when it isn't one. The second
 // place goes to the first member in another data centre than that of the first, so that the loss of one leaves a reader.
 func rank(l []roster.Member, self ident.VM) int {
 	l = slices.Clone(l)
 	slices.SortFunc(l, func(a, b roster.Member) int {
-		return cmp.Or(cmp.Compare(hash(string(a.Name)), hash(string(b.Name))), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hash(string(a.Name)), hash(string(b.Name))), cmp.Compare(a.Name, b.Name))
 	})
 	for i := range l {
 		if i > 0 && l[i].DataCentre != l[0].DataCentre {
@@ -40,7 +40,7 @@
 // each one's share of the rate is large enough to be of use.
 const sponsors = 3
 
-// Sponsors returns how many members share the starts at a cold target, or zero when the VM isn't one of them.
+// sponsorsOf returns how many members share the starts at a cold target, or zero when the VM isn't one of them.
 func sponsorsOf(l []roster.Member, self ident.VM, t ident.Target) int {
 	mine := hash(string(t) + "/" + string(self))
 	before := 0
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -66,7 +66,8 @@
 	g := catalog.New(c, l)
 	set := upstream.NewSet(c, l, h, pool.DialTCP)
 	r := catalog.NewFollower(g, src, c, l)
-	f := fleet.New(roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre}, g, r, src, c, l)
+	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
+	f := fleet.New(m, g, r, src, c, l)
 	w := warmup.New(c, f.Sponsors)
 	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -23,6 +24,9 @@
 	OperatorAddress ident.Address
 	// StoreAddress is where the store is reached.
 	StoreAddress ident.Address
+	// Cores and LinkMbps are what the VM has of processors and network, in megabits a second.
+	Cores    float64
+	LinkMbps float64
 	// Grace is how long the process may go on after it was asked to stop.
 	Grace time.Duration
 	Retry RetryBound
@@ -40,6 +44,21 @@
 	Window time.Duration
 }
 
+// The smallest machine that counts as one class above the smallest.
+const (
+	baseCores    = 0.16
+	baseLinkMbps = 10
+)
+
+// Capacity returns the class of the VM: each stands for twice the processors and network of the one below.
+func (s *Settings) Capacity() int {
+	n := min(s.Cores/baseCores, s.LinkMbps/baseLinkMbps)
+	if n < 1 {
+		return 0
+	}
+	return int(math.Log2(n))
+}
+
 // Check returns all that is wrong with the settings.
 func (s *Settings) Check() error {
 	var l []error
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -29,6 +29,8 @@
 	// Address takes datagrams and connections of the other members.
 	Address    ident.Address
 	DataCentre ident.DataCentre
+	// Capacity is a class of machines: the larger, the more a VM can do for others.
+	Capacity int
 }
 
 // Roster is one state of the register; it is never changed after New.
