Give up idempotent attempts that their target does not run

An attempt that takes three times its estimate makes its VM ask the target; one that runs nothing is given up and the request sent elsewhere, within the retry budget. Ruled out: sending again by time alone, which spent the budget in trials.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -153,7 +153,13 @@
 	return outcome.Unreachable
 }
 
+// ErrLost is the cause by which a sender ends an exchange whose target does not run the request.
+var ErrLost = errors.New("exchange: the target does not run the request")
+
 func reasonOfEnd(ctx context.Context) outcome.Reason {
+	if errors.Is(context.Cause(ctx), ErrLost) {
+		return outcome.Silent
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return outcome.Cancelled
 	}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -132,7 +132,7 @@
 	}
 	u := h.Upstream
 	began := r.clock.Now()
-	x := u.Do(ctx, h.Conn, c, func() outcome.Reason { return r.check(u.Target.ID, c) })
+	x := r.send(ctx, s, &h)
 	r.log.Info().Str("Request", string(c.ID)).Str("Target", string(u.Target.ID)).
 		Str("DataCentre", string(u.Target.DataCentre)).Int("Asked", h.Asked).Float64("Score", h.Score).
 		Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Pace).
@@ -147,6 +147,16 @@
 	return r.judge(s, x)
 }
 
+// send sends the request to the chosen target, watched if it may be sent elsewhere.
+func (r *Relay) send(ctx context.Context, s *attempts, h *candidate.Choice) exchange.Result {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	if s.call.Idempotent && len(s.tried)+1 < s.route.MaxAttempts {
+		go r.watchdog(ctx, giveUp, s, h)
+	}
+	return h.Upstream.Do(ctx, h.Conn, s.call, func() outcome.Reason { return r.check(h.Upstream.Target.ID, s.call) })
+}
+
 // check runs immediately before the first byte is written, so that a target that has begun to leave gets nothing.
 func (r *Relay) check(id ident.Target, c *call.Call) outcome.Reason {
 	if !r.catalog.Get().Roster.Open(c.Service, id) {
