--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -65,7 +65,7 @@
 	}
 	for k, u := range s.all {
 		if !keep[k] {
-			u.direct.Close()
+			u.Close()
 			delete(s.all, k)
 		}
 	}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -135,6 +135,11 @@
 	return u.direct.Open()
 }
 
+// Close closes the connections to the target, those in use when their requests end.
+func (u *Upstream) Close() {
+	u.direct.Close()
+}
+
 // learn moves trust by how a request ended.
 func (u *Upstream) learn(r exchange.Result) {
 	now := u.clock.Now()
--- /dev/null
+++ b/process/catalog/model_test.go
@@ -0,0 +1,312 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/version/route"
+)
+
+// model is a store in memory with the faults of a real one.
+type model struct {
+	mu       sync.Mutex
+	revision ident.Revision
+	records  [Kinds]map[string]Record
+	history  []modelEvent
+	from     ident.Revision
+	down     bool
+}
+
+type modelEvent struct {
+	kind   Kind
+	change Change
+}
+
+var errDown = errors.New("store is down")
+
+func newModel() *model {
+	m := &model{revision: 1, from: 1}
+	for k := range Kinds {
+		m.records[k] = map[string]Record{}
+	}
+	return m
+}
+
+func (m *model) put(k Kind, name string, e Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	r := Record{Name: name, Revision: m.revision, Entry: e}
+	m.records[k][name] = r
+	m.history = append(m.history, modelEvent{k, Change{Record: r}})
+}
+
+func (m *model) delete(k Kind, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.records[k][name]
+	if !ok {
+		return
+	}
+	m.revision++
+	r.Revision = m.revision
+	delete(m.records[k], name)
+	m.history = append(m.history, modelEvent{k, Change{Record: r, Deleted: true}})
+}
+
+func (m *model) compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history, m.from = nil, m.revision
+}
+
+func (m *model) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *model) names(k Kind) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.records[k]))
+}
+
+// List gives two records a page.
+func (m *model) List(_ context.Context, k Kind, after string, _ Freshness) (Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return Page{}, errDown
+	}
+	p := Page{AsOf: m.revision}
+	for _, n := range slices.Sorted(maps.Keys(m.records[k])) {
+		if n <= after {
+			continue
+		}
+		if len(p.Records) == 2 {
+			p.More = true
+			break
+		}
+		p.Records = append(p.Records, m.records[k][n])
+	}
+	return p, nil
+}
+
+// Watch never waits long, so that tests go on.
+func (m *model) Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error) {
+	over := time.Now().Add(min(wait, 20*time.Millisecond))
+	for {
+		m.mu.Lock()
+		if m.down {
+			m.mu.Unlock()
+			return Batch{}, errDown
+		}
+		if since < m.from {
+			m.mu.Unlock()
+			return Batch{}, ErrHistoryGone
+		}
+		b := Batch{AsOf: m.revision}
+		for _, e := range m.history {
+			if e.kind == k && e.change.Revision > since {
+				b.Changes = append(b.Changes, e.change)
+			}
+		}
+		m.mu.Unlock()
+		if len(b.Changes) > 0 || time.Now().After(over) {
+			return b, nil
+		}
+		if ctx.Err() != nil {
+			return Batch{}, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (m *model) Decode(Kind, []byte) (Record, error)           { return Record{}, errDown }
+func (m *model) Register(context.Context, roster.Member) error { return nil }
+
+func registration(id string, draining bool) Entry {
+	return Registration{Target: roster.Target{ID: ident.Target(id), Service: "s", Address: "a:1", Draining: draining}}
+}
+
+func version(n ident.Version) Entry {
+	t, err := route.New(n, route.Limits{}, nil, nil)
+	if err != nil {
+		panic(err)
+	}
+	return Configuration{Table: t}
+}
+
+func sorted(l []roster.Target) []string {
+	var n []string
+	for _, t := range l {
+		n = append(n, string(t.ID))
+	}
+	slices.Sort(n)
+	return n
+}
+
+// TestCatalogFollows changes a store at random, loses its history, and stops and starts a follower, and checks that the
+// catalog ends up with what the store holds and never goes back a version.
+func TestCatalogFollows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		c := clock.New()
+		g := New(c, zerolog.Nop())
+		f := NewFollower(g, m, c, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f.Start(ctx, "test")
+		newest, shown := ident.Version(0), ident.Version(0)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"target", "gone", "version", "out", "in", "compact", "restart"}).Draw(t, "step") {
+			case "target":
+				m.put(Targets, fmt.Sprintf("t-%d", rapid.IntRange(0, 6).Draw(t, "n")), registration("x", rapid.Bool().Draw(t, "draining")))
+			case "gone":
+				m.delete(Targets, fmt.Sprintf("t-%d", rapid.IntRange(0, 6).Draw(t, "n")))
+			case "version":
+				newest += ident.Version(rapid.IntRange(1, 3).Draw(t, "by"))
+				m.put(Configurations, "main", version(newest))
+			case "out":
+				m.put(Evacuations, "a", Evacuation{DataCentre: "a"})
+			case "in":
+				m.delete(Evacuations, "a")
+			case "compact":
+				m.compact()
+			case "restart":
+				f.Stop("test")
+				f.Start(ctx, "test")
+			}
+			if v := g.Get().Table; v != nil {
+				if v.Version < shown {
+					t.Fatalf("went back from version %d to %d", shown, v.Version)
+				}
+				shown = v.Version
+			}
+		}
+		agree := func() bool {
+			v := g.Get()
+			return v.Complete && v.Roster.Size() == len(m.names(Targets)) &&
+				v.Roster.Out("a") == (len(m.names(Evacuations)) > 0) &&
+				(newest == 0 || v.Table != nil && v.Table.Version == newest)
+		}
+		for range 400 {
+			if agree() {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("catalog has %d targets, the store has %v", g.Get().Roster.Size(), m.names(Targets))
+	})
+}
+
+// TestNewsTakenInTurn lets one catalog follow another by news only, and checks that it ends up with the same.
+func TestNewsTakenInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clock.NewFake()
+		a, b := New(c, zerolog.Nop()), New(c, zerolog.Nop())
+		revision := ident.Revision(1)
+		a.Replace(Targets, nil, revision)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			revision++
+			name := fmt.Sprintf("t-%d", rapid.IntRange(0, 5).Draw(t, "n"))
+			r := Record{Name: name, Revision: revision, Entry: registration(name, false)}
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				a.Apply(Targets, Batch{Changes: []Change{{Record: r}}, AsOf: revision})
+			case 2:
+				a.Apply(Targets, Batch{Changes: []Change{{Record: r, Deleted: true}}, AsOf: revision})
+			case 3:
+				a.Replace(Targets, []Record{r}, revision)
+			case 4:
+				_, asOf := b.Revisions()
+				b.Take(Targets, a.Since(Targets, asOf[Targets]))
+			}
+		}
+		_, asOf := b.Revisions()
+		b.Take(Targets, a.Since(Targets, asOf[Targets]))
+		if x, y := sorted(a.Get().Roster.All()), sorted(b.Get().Roster.All()); !slices.Equal(x, y) {
+			t.Fatalf("one has %v, the other %v", x, y)
+		}
+	})
+}
+
+// TestKeepAfterOutage holds rows for targets that are missing right after an outage of the store.
+func TestKeepAfterOutage(t *testing.T) {
+	rows := []struct {
+		name     string
+		draining bool
+		regained bool
+		back     bool
+		wait     time.Duration
+		want     int
+	}{
+		{"no outage", false, false, false, 0, 0},
+		{"just after it", false, true, false, 0, 1},
+		{"still missing at the end of the time", false, true, false, lapseGrace, 0},
+		{"back in time", false, true, true, lapseGrace, 1},
+		{"was draining", true, true, false, 0, 0},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			c := clock.NewFake()
+			g := New(c, zerolog.Nop())
+			o := Record{Name: "t", Revision: 2, Entry: registration("t", r.draining)}
+			g.Replace(Targets, []Record{o}, 2)
+			if r.regained {
+				g.Regained(lapseGrace)
+			}
+			g.Replace(Targets, nil, 3)
+			if r.back {
+				o.Revision = 4
+				g.Apply(Targets, Batch{Changes: []Change{{Record: o}}, AsOf: 4})
+			}
+			c.Advance(r.wait)
+			g.Sweep()
+			if n := g.Get().Roster.Size(); n != r.want {
+				t.Errorf("%d targets, want %d", n, r.want)
+			}
+		})
+	}
+}
+
+// TestOutage checks that a follower notices an outage and its end, with few calls meanwhile.
+func TestOutage(t *testing.T) {
+	m := newModel()
+	c := clock.New()
+	g := New(c, zerolog.Nop())
+	f := NewFollower(g, m, c, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.Start(ctx, "test")
+	until(t, func() bool { return g.Get().Complete })
+	m.setDown(true)
+	until(t, f.lost)
+	m.put(Targets, "t-1", registration("t-1", false))
+	m.setDown(false)
+	until(t, func() bool { return !f.lost() && g.Get().Roster.Size() == 1 })
+}
+
+func until(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 600 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("did not come true within 3 s")
+}
--- /dev/null
+++ b/process/fleet/fleet_test.go
@@ -0,0 +1,219 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/platform"
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/process/fleet"
+	"github.com/amaranthramp/amaranthramp/standin/objects"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+)
+
+// node is one member of a test's fleet.
+type node struct {
+	fleet    *fleet.Fleet
+	catalog  *catalog.Catalog
+	follower *catalog.Follower
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func (n *node) kill() {
+	n.stop()
+	<-n.done
+}
+
+// bed is a store and a fleet on loopback.
+type bed struct {
+	store *objects.Store
+	http  *httptest.Server
+	nodes []*node
+}
+
+func newBed(t *testing.T, n int) *bed {
+	t.Helper()
+	b := &bed{store: objects.New()}
+	b.http = httptest.NewServer(b.store)
+	t.Cleanup(b.http.Close)
+	b.store.Put("config", "main", `{"version":1,"hosts":[]}`)
+	for i := range n {
+		b.nodes = append(b.nodes, b.start(t, i))
+	}
+	return b
+}
+
+func (b *bed) start(t *testing.T, i int) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	c := clock.New()
+	s := platform.NewStore(ident.Address(strings.TrimPrefix(b.http.URL, "http://")), b.http.Client(), c)
+	g := catalog.New(c, zerolog.Nop())
+	f := catalog.NewFollower(g, s, c, zerolog.Nop())
+	m := roster.Member{
+		Name: ident.VM(fmt.Sprintf("vm-%d", i)), Address: ident.Address(a), DataCentre: ident.DataCentre(rune('a' + i%3)),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{fleet: fleet.New(m, g, f, s, c, zerolog.Nop()), catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		if err := n.fleet.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(n.kill)
+	return n
+}
+
+func (b *bed) readers() int {
+	r := 0
+	for _, n := range b.nodes {
+		if ok, _ := n.follower.Reading(); ok {
+			r++
+		}
+	}
+	return r
+}
+
+// inForce reports whether every node that lives has the version.
+func (b *bed) inForce(v ident.Version) bool {
+	for _, n := range b.nodes {
+		select {
+		case <-n.done:
+			continue
+		default:
+		}
+		if t := n.catalog.Get().Table; t == nil || t.Version != v {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *bed) change(v int) {
+	b.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"hosts":[]}`, v))
+}
+
+func until(t *testing.T, limit time.Duration, what string, done func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if done() {
+			return time.Since(began)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within %s", what, limit)
+	return 0
+}
+
+// inForceWithin is what operators are promised: a change is in force everywhere 2 s after its acknowledgement.
+const inForceWithin = 2 * time.Second
+
+// settle waits until two members read for all.
+func (b *bed) settle(t *testing.T) {
+	t.Helper()
+	until(t, 10*time.Second, "two readers", func() bool { return b.readers() == 2 && b.inForce(1) })
+}
+
+// TestFewReaders checks that two members read for all, and that a change is in force everywhere in time.
+func TestFewReaders(t *testing.T) {
+	b := newBed(t, 6)
+	b.settle(t)
+	for _, n := range b.nodes {
+		if m := n.fleet.Members(); m != 6 {
+			t.Errorf("a member knows %d members", m)
+		}
+	}
+	before := b.store.Calls()
+	b.change(2)
+	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
+	time.Sleep(time.Second)
+	// Each reader watches four kinds and asks once in 0.8 s whether the store answers.
+	if n := b.store.Calls() - before; n > 20 {
+		t.Errorf("%d calls in a second with one change", n)
+	}
+}
+
+// TestReaderDies checks that a change comes into force in time although both readers have just died.
+func TestReaderDies(t *testing.T) {
+	b := newBed(t, 6)
+	b.settle(t)
+	for _, n := range b.nodes {
+		if ok, _ := n.follower.Reading(); ok {
+			n.kill()
+		}
+	}
+	b.change(2)
+	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
+}
+
+// TestStoreSilent checks that a fleet finds out what it has missed soon after the store answers again, and that an
+// outage costs few calls.
+func TestStoreSilent(t *testing.T) {
+	b := newBed(t, 5)
+	b.settle(t)
+	b.store.Set(objects.Faults{Silent: true})
+	time.Sleep(3 * time.Second)
+	before := b.store.Calls()
+	time.Sleep(2 * time.Second)
+	if n := b.store.Calls() - before; n > 5*6 {
+		t.Errorf("%d calls of 5 members in 2 s of an outage", n)
+	}
+	b.change(2)
+	b.store.Set(objects.Faults{})
+	until(t, 3*time.Second, "change after the outage", func() bool { return b.inForce(2) })
+}
+
+// TestStoreRefuses checks the same for a store that refuses calls.
+func TestStoreRefuses(t *testing.T) {
+	b := newBed(t, 4)
+	b.settle(t)
+	b.store.Set(objects.Faults{Status: 503})
+	time.Sleep(1500 * time.Millisecond)
+	b.change(2)
+	b.store.Set(objects.Faults{})
+	until(t, 3*time.Second, "change after the outage", func() bool { return b.inForce(2) })
+}
+
+// TestHistoryLost checks that readers list again when the store has dropped its history.
+func TestHistoryLost(t *testing.T) {
+	b := newBed(t, 4)
+	b.settle(t)
+	b.store.Put("evacuations", "zone-a", `{}`)
+	b.store.Compact()
+	b.change(2)
+	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
+	for _, n := range b.nodes {
+		if !n.catalog.Get().Roster.Out("zone-a") {
+			t.Error("a member has missed an evacuation")
+		}
+	}
+}
+
+// TestLateStart checks that a member that starts later is told, and is itself not asked to read.
+func TestLateStart(t *testing.T) {
+	b := newBed(t, 4)
+	b.settle(t)
+	b.change(2)
+	n := b.start(t, 9)
+	b.nodes = append(b.nodes, n)
+	until(t, inForceWithin, "the new member", func() bool { return b.inForce(2) && n.fleet.Confirmed() != 0 })
+}
--- /dev/null
+++ b/process/fleet/rank_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/request/warmup"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/version/route"
+)
+
+func members(t *rapid.T) []roster.Member {
+	n := rapid.IntRange(1, 30).Draw(t, "members")
+	l := make([]roster.Member, 0, n)
+	for i := range n {
+		l = append(l, roster.Member{
+			Name: ident.VM(fmt.Sprintf("vm-%d", i)), Capacity: rapid.IntRange(0, 2).Draw(t, "capacity"),
+			DataCentre: ident.DataCentre(rune('a' + rapid.IntRange(0, 3).Draw(t, "data centre"))),
+		})
+	}
+	return l
+}
+
+// TestRank checks that ranks are a permutation, that the first two are in two data centres where there are two, and that
+// the first is of the highest capacity.
+func TestRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := members(t)
+		at := map[int]roster.Member{}
+		centres := map[ident.DataCentre]bool{}
+		most := 0
+		for _, m := range l {
+			at[rank(l, m.Name)] = m
+			centres[m.DataCentre] = true
+			most = max(most, m.Capacity)
+		}
+		if len(at) != len(l) {
+			t.Fatalf("%d ranks for %d members", len(at), len(l))
+		}
+		if at[0].Capacity != most {
+			t.Fatalf("the first member has capacity %d, the largest is %d", at[0].Capacity, most)
+		}
+		if len(centres) > 1 && at[0].DataCentre == at[1].DataCentre {
+			t.Fatal("the first two members are in one data centre")
+		}
+		if n := rank(l, "stranger"); n != len(l) {
+			t.Fatalf("a stranger has rank %d", n)
+		}
+	})
+}
+
+// TestSponsorsKeepColdRate lets all members ask for starts at one cold target as fast as they can, and checks that no
+// second has more than the platform's bound: the rate times 1.5, and 5 more.
+func TestSponsorsKeepColdRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := members(t)
+		c := clock.NewFake()
+		s := &route.Service{WarmupRate: rapid.SampledFrom([]float64{4.6, 5.9, 12}).Draw(t, "rate")}
+		g := &roster.Target{ID: "t"}
+		var limiters []*warmup.Limiter
+		for _, m := range l {
+			limiters = append(limiters, warmup.New(c, func(id ident.Target) int { return sponsorsOf(l, m.Name, id) }))
+		}
+		var starts []clock.Instant
+		for range 300 {
+			for _, w := range limiters {
+				if w.Take(g, s) {
+					starts = append(starts, c.Now())
+				}
+			}
+			c.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
+		}
+		if len(starts) == 0 {
+			t.Fatal("nobody may start a request at a cold target")
+		}
+		for i := range starts {
+			n := 0
+			for _, at := range starts[i:] {
+				if at.Sub(starts[i]) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > s.WarmupRate*1.5+5 {
+				t.Fatalf("%d starts in a second at a rate of %.1f", n, s.WarmupRate)
+			}
+		}
+	})
+}
