--- a/connection/exchange/direct.go
+++ b/connection/exchange/direct.go
@@ -58,8 +58,8 @@
 	return &Direct{target: t, address: a, pool: p, clock: c, headers: h}
 }
 
-// Probe asks the target for its health and load. It returns with the report the connection, if that may carry a request,
-// which the caller has to pass to Do or to Release.
+// Probe asks the target for its health and load. With the report it returns the connection, if that may carry a
+// request, which the caller has to pass to Do or to Release.
 func (d *Direct) Probe(ctx context.Context, path string) (Report, *pool.Conn, error) {
 	n, err := d.pool.Get(ctx, anyAge)
 	if err != nil {
--- a/connection/exchange/direct_test.go
+++ b/connection/exchange/direct_test.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// TestDirectUnframed checks that an answer without a length is whole when its connection ends cleanly, and not when it is
-// reset.
+// TestDirectUnframed checks that an answer without a length is whole when its connection ends cleanly, and not when it
+// is reset.
 func TestDirectUnframed(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -145,7 +145,8 @@
 		}()
 		a := ident.Address(l.Addr().String())
 		c := clock.New()
-		x := NewDirect("i-1", a, NewPool(a, 4, pool.DialTCP, c), c, names).Do(context.Background(), nil, directCall(true), proceed)
+		d := NewDirect("i-1", a, NewPool(a, 4, pool.DialTCP, c), c, names)
+		x := d.Do(context.Background(), nil, directCall(true), proceed)
 		_ = l.Close()
 		if _, ok := x.Event.(outcome.Completed); ok == reset {
 			t.Errorf("reset %t: event %#v", reset, x.Event)
--- a/process/catalog/model_test.go
+++ b/process/catalog/model_test.go
@@ -174,7 +174,8 @@
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"target", "gone", "version", "out", "in", "compact", "restart"}).Draw(t, "step") {
 			case "target":
-				m.put(Targets, fmt.Sprintf("t-%d", rapid.IntRange(0, 6).Draw(t, "n")), registration("x", rapid.Bool().Draw(t, "draining")))
+				name := fmt.Sprintf("t-%d", rapid.IntRange(0, 6).Draw(t, "n"))
+				m.put(Targets, name, registration("x", rapid.Bool().Draw(t, "draining")))
 			case "gone":
 				m.delete(Targets, fmt.Sprintf("t-%d", rapid.IntRange(0, 6).Draw(t, "n")))
 			case "version":
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -58,6 +58,7 @@
 // Fleet is this VM's part in reading the store; it is safe for concurrent use.
 type Fleet struct {
 	self     roster.Member
+	cold     ColdBound
 	catalog  *catalog.Catalog
 	follower *catalog.Follower
 	source   catalog.Source
@@ -83,10 +84,11 @@
 }
 
 // New returns the part of a member in a fleet.
-func New(m roster.Member, g *catalog.Catalog, f *catalog.Follower, s catalog.Source, c clock.Clock, l zerolog.Logger,
+func New(m roster.Member, b ColdBound, g *catalog.Catalog, f *catalog.Follower, s catalog.Source, c clock.Clock,
+	l zerolog.Logger,
 ) *Fleet {
 	return &Fleet{
-		self: m, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[ident.Address](4),
+		self: m, cold: b, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[ident.Address](4),
 		heard: map[ident.VM]heard{},
 	}
 }
@@ -121,9 +123,10 @@
 	return max(len(f.catalog.Get().Members), 1)
 }
 
-// Sponsors returns how many members share the starts at a cold target, or zero when this VM isn't one of them.
-func (f *Fleet) Sponsors(t ident.Target) int {
-	return sponsorsOf(f.catalog.Get().Members, f.self.Name, t)
+// Sponsors returns how many members share the starts at a cold target that bears the rate, or zero when this VM isn't one
+// of them.
+func (f *Fleet) Sponsors(t ident.Target, rate float64) int {
+	return sponsorsOf(f.catalog.Get().Members, f.self.Name, t, rate, f.cold)
 }
 
 // Confirmed returns when the store last confirmed what this VM knows; zero if it never did.
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -71,7 +71,8 @@
 		Name: ident.VM(fmt.Sprintf("vm-%d", i)), Address: ident.Address(a), DataCentre: ident.DataCentre(rune('a' + i%3)),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{fleet: fleet.New(m, g, f, s, c, zerolog.Nop()), catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
+	n := &node{catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
+	n.fleet = fleet.New(m, fleet.ColdBound{Factor: 1.5, Slack: 5}, g, f, s, c, zerolog.Nop())
 	go func() {
 		defer close(n.done)
 		if err := n.fleet.Run(ctx); err != nil {
@@ -107,21 +108,21 @@
 	return true
 }
 
-func (b *bed) change(v int) {
-	b.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"hosts":[]}`, v))
+// change writes version 2.
+func (b *bed) change() {
+	b.store.Put("config", "main", `{"version":2,"hosts":[]}`)
 }
 
-func until(t *testing.T, limit time.Duration, what string, done func() bool) time.Duration {
+func until(t *testing.T, limit time.Duration, what string, done func() bool) {
 	t.Helper()
 	began := time.Now()
 	for time.Since(began) < limit {
 		if done() {
-			return time.Since(began)
+			return
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	t.Fatalf("%s: not within %s", what, limit)
-	return 0
 }
 
 // inForceWithin is what operators are promised: a change is in force everywhere 2 s after its acknowledgement.
@@ -143,7 +144,7 @@
 		}
 	}
 	before := b.store.Calls()
-	b.change(2)
+	b.change()
 	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
 	time.Sleep(time.Second)
 	// Each reader watches four kinds and asks once in 0.8 s whether the store answers.
@@ -161,7 +162,7 @@
 			n.kill()
 		}
 	}
-	b.change(2)
+	b.change()
 	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
 }
 
@@ -177,7 +178,7 @@
 	if n := b.store.Calls() - before; n > 5*6 {
 		t.Errorf("%d calls of 5 members in 2 s of an outage", n)
 	}
-	b.change(2)
+	b.change()
 	b.store.Set(objects.Faults{})
 	until(t, 3*time.Second, "change after the outage", func() bool { return b.inForce(2) })
 }
@@ -188,7 +189,7 @@
 	b.settle(t)
 	b.store.Set(objects.Faults{Status: 503})
 	time.Sleep(1500 * time.Millisecond)
-	b.change(2)
+	b.change()
 	b.store.Set(objects.Faults{})
 	until(t, 3*time.Second, "change after the outage", func() bool { return b.inForce(2) })
 }
@@ -199,7 +200,7 @@
 	b.settle(t)
 	b.store.Put("evacuations", "zone-a", `{}`)
 	b.store.Compact()
-	b.change(2)
+	b.change()
 	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
 	for _, n := range b.nodes {
 		if !n.catalog.Get().Roster.Out("zone-a") {
@@ -212,7 +213,7 @@
 func TestLateStart(t *testing.T) {
 	b := newBed(t, 4)
 	b.settle(t)
-	b.change(2)
+	b.change()
 	n := b.start(t, 9)
 	b.nodes = append(b.nodes, n)
 	until(t, inForceWithin, "the new member", func() bool { return b.inForce(2) && n.fleet.Confirmed() != 0 })
--- a/process/fleet/rank.go
+++ b/process/fleet/rank.go
@@ -10,12 +10,17 @@
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
-// rank orders members by their capacity, then by hash, and returns the place of a VM, or the number of members when it isn't one. The second
-// place goes to the first member in another data centre than that of the first, so that the loss of one leaves a reader.
+// rank orders members by their capacity, then by hash, and returns the place of a VM, or the number of members when it
+// isn't one. The second place goes to the first member in another data centre than that of the first, so that the loss
+// of one leaves a reader.
 func rank(l []roster.Member, self ident.VM) int {
 	l = slices.Clone(l)
 	slices.SortFunc(l, func(a, b roster.Member) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hash(string(a.Name)), hash(string(b.Name))), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(
+			cmp.Compare(b.Capacity, a.Capacity),
+			cmp.Compare(hash(string(a.Name)), hash(string(b.Name))),
+			cmp.Compare(a.Name, b.Name),
+		)
 	})
 	for i := range l {
 		if i > 0 && l[i].DataCentre != l[0].DataCentre {
@@ -36,12 +41,16 @@
 	return xxhash.Sum64String(s)
 }
 
-// sponsors is how many members may start requests at one target in a cold start. Three leave two when one is gone, and
-// each one's share of the rate is large enough to be of use.
-const sponsors = 3
+// sponsorShare is the part of the starts that a cold target bears in a second that its sponsors may make at once; the
+// rest is for members that see another list of members for a moment.
+const sponsorShare = 0.6
+
+// ColdBound is what all members together may start at a cold target in a second: its rate times Factor, and Slack more.
+type ColdBound struct{ Factor, Slack float64 }
 
 // sponsorsOf returns how many members share the starts at a cold target, or zero when the VM isn't one of them.
-func sponsorsOf(l []roster.Member, self ident.VM, t ident.Target) int {
+func sponsorsOf(l []roster.Member, self ident.VM, t ident.Target, rate float64, b ColdBound) int {
+	sponsors := max(int(sponsorShare*(rate*b.Factor+b.Slack)), 1)
 	mine := hash(string(t) + "/" + string(self))
 	before := 0
 	found := false
--- a/process/fleet/rank_test.go
+++ b/process/fleet/rank_test.go
@@ -64,7 +64,9 @@
 		g := &roster.Target{ID: "t"}
 		var limiters []*warmup.Limiter
 		for _, m := range l {
-			limiters = append(limiters, warmup.New(c, func(id ident.Target) int { return sponsorsOf(l, m.Name, id) }))
+			limiters = append(limiters, warmup.New(c, func(id ident.Target, rate float64) int {
+				return sponsorsOf(l, m.Name, id, rate, ColdBound{Factor: 1.5, Slack: 5})
+			}))
 		}
 		var starts []clock.Instant
 		for range 300 {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -67,7 +67,7 @@
 	set := upstream.NewSet(c, l, h, pool.DialTCP)
 	r := catalog.NewFollower(g, src, c, l)
 	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
-	f := fleet.New(m, g, r, src, c, l)
+	f := fleet.New(m, fleet.ColdBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}, g, r, src, c, l)
 	w := warmup.New(c, f.Sponsors)
 	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
@@ -140,8 +140,8 @@
 	}
 }
 
-// reload notes SIGHUP. Nothing in the settings can change while the process lives: addresses and bounds are those of the
-// VM, and all else is read from the store.
+// reload notes SIGHUP. Nothing in the settings can change while the process lives: addresses and bounds are those of
+// the VM, and all else is read from the store.
 func (g *Gateway) reload(ctx context.Context) {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
--- /dev/null
+++ b/process/gateway/gateway_test.go
@@ -0,0 +1,278 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/platform"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/process/gateway"
+	"github.com/amaranthramp/amaranthramp/standin/objects"
+	"github.com/amaranthramp/amaranthramp/standin/target"
+)
+
+// lab is a store, targets of one service, and one gateway, all on loopback.
+type lab struct {
+	store   *objects.Store
+	record  *target.Record
+	targets []*target.Target
+	s       *gateway.Settings
+	stop    context.CancelFunc
+	done    chan error
+}
+
+const routes = `{"version":%d,"services":[{"name":"book","health-path":"/health","max-conns":50}],
+"limits":{"max-body-bytes":1000},"hosts":[{"host":"h.example","paths":[
+{"name":"read","path-prefix":"/read/","kind":"safe","timeout-ms":2000,"aim-ms":500,"service":"book","max-attempts":2},
+{"name":"claim","path-prefix":"/claim/","kind":"unsafe","timeout-ms":2000,"aim-ms":500,"service":"book",
+"max-attempts":2}]}]}`
+
+func freeAddress(t *testing.T) ident.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return ident.Address(l.Addr().String())
+}
+
+func newLab(t *testing.T, targets int, work time.Duration) *lab {
+	t.Helper()
+	b := &lab{store: objects.New(), record: target.NewRecord(), done: make(chan error, 1)}
+	h := httptest.NewServer(b.store)
+	t.Cleanup(h.Close)
+	b.store.Put("config", "main", fmt.Sprintf(routes, 1))
+	for i := range targets {
+		g, err := target.Start(fmt.Sprintf("i-%d", i), 2, work, &platform.Headers, b.record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(g.Stop)
+		b.targets = append(b.targets, g)
+		b.store.Put("servers", g.ID, g.Entry("book", "a", "ready"))
+	}
+	b.s = &gateway.Settings{
+		Name: "vm-1", DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
+		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+		StoreAddress: ident.Address(strings.TrimPrefix(h.URL, "http://")),
+		Grace: 3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second}, ProbeRate: 60,
+	}
+	c := clock.New()
+	st := platform.NewStore(b.s.StoreAddress, h.Client(), c)
+	g := gateway.New(b.s, st, &platform.Headers, c, zerolog.Nop(), func() uint64 { return 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop = cancel
+	t.Cleanup(cancel)
+	go func() { b.done <- g.Run(ctx) }()
+	b.until(t, "ready", func() bool { return b.ready() == http.StatusOK })
+	return b
+}
+
+func (b *lab) until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+func (b *lab) ready() int {
+	r, err := http.Get("http://" + string(b.s.ReadyAddress) + "/readiness")
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// ask sends one request and returns status and body.
+func (b *lab) ask(ctx context.Context, method, path, id, body string) (*http.Response, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+string(b.s.CallerAddress)+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.Headers.RequestID, id)
+	r.Header.Set(platform.Headers.TimeLeft, "2000")
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = p.Body.Close() }()
+	a, err := io.ReadAll(p.Body)
+	return p, string(a), err
+}
+
+// TestServe holds a row for each kind of request and answer.
+func TestServe(t *testing.T) {
+	b := newLab(t, 3, 5*time.Millisecond)
+	rows := []struct {
+		name, method, path, body string
+		status                   int
+		answer                   string
+	}{
+		{"read", "GET", "/read/1", "", 200, "read 0"},
+		{"claim", "POST", "/claim/1", "four", 200, "claim 4"},
+		{"no route", "GET", "/other/", "", 404, ""},
+		{"body too large", "POST", "/claim/2", strings.Repeat("x", 1001), 413, ""},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			p, a, err := b.ask(context.Background(), r.method, r.path, r.name, r.body)
+			if err != nil || p.StatusCode != r.status || a != r.answer {
+				t.Errorf("%v, %v, body %q, want %d, %q", p, err, a, r.status, r.answer)
+			}
+		})
+	}
+}
+
+// TestPipelined checks that requests that are sent before the first is answered are answered in order.
+func TestPipelined(t *testing.T) {
+	b := newLab(t, 3, 20*time.Millisecond)
+	n, err := net.Dial("tcp", string(b.s.CallerAddress))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	for i := range 4 {
+		if _, err := fmt.Fprintf(n, "GET /read/%d HTTP/1.1\r\nHost: h.example\r\n%s: p%d\r\n\r\n", i,
+			platform.Headers.RequestID, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := bufio.NewReader(n)
+	for i := range 4 {
+		p, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := io.ReadAll(p.Body)
+		if want := fmt.Sprintf("p%d 0", i); err != nil || string(a) != want {
+			t.Errorf("answer %d is %q, %v", i, a, err)
+		}
+	}
+}
+
+// TestDraining checks that a target gets nothing soon after it says that it drains, and that another configuration is
+// in force soon.
+func TestDraining(t *testing.T) {
+	b := newLab(t, 2, time.Millisecond)
+	g := b.targets[0]
+	b.store.Put("servers", g.ID, g.Entry("book", "a", "draining"))
+	b.store.Put("config", "main", strings.Replace(fmt.Sprintf(routes, 2), "/read/", "/look/", 1))
+	acked := time.Now()
+	for i := 0; time.Since(acked) < 3*time.Second; i++ {
+		p, _, err := b.ask(context.Background(), "GET", "/look/1", fmt.Sprint("d", i), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if time.Since(acked) > 2*time.Second && p.StatusCode != http.StatusOK {
+			t.Fatalf("status %d %s after the change", p.StatusCode, time.Since(acked))
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	if d := b.record.Last(g.ID).Sub(acked); d > 2*time.Second {
+		t.Errorf("the draining target got a request %s later", d)
+	}
+}
+
+// TestPlannedStop checks that a stop turns readiness off at once, cuts nothing, and ends within the grace time.
+func TestPlannedStop(t *testing.T) {
+	b := newLab(t, 4, 100*time.Millisecond)
+	var w sync.WaitGroup
+	stopped := make(chan struct{})
+	for i := range 6 {
+		w.Go(func() {
+			for j := 0; ; j++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				id := fmt.Sprintf("s%d-%d", i, j)
+				p, _, err := b.ask(context.Background(), "POST", "/claim/1", id, "")
+				switch {
+				case err != nil && b.record.Runs(id) > 0:
+					t.Errorf("request %s ran and was cut: %v", id, err)
+				case err == nil && p.StatusCode == http.StatusServiceUnavailable && b.record.Runs(id) > 0:
+					t.Errorf("request %s ran and was refused", id)
+				case b.record.Runs(id) > 1:
+					t.Errorf("request %s ran %d times", id, b.record.Runs(id))
+				case err != nil:
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	b.stop()
+	time.Sleep(50 * time.Millisecond)
+	if s := b.ready(); s == http.StatusOK {
+		t.Error("still ready")
+	}
+	if err := <-b.done; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(began); d > b.s.Grace {
+		t.Errorf("stop took %s", d)
+	}
+	close(stopped)
+	w.Wait()
+}
+
+// TestLostAnswers checks that claims run once and reads are answered while half of the targets lose their answers.
+func TestLostAnswers(t *testing.T) {
+	b := newLab(t, 4, time.Millisecond)
+	for _, g := range b.targets[:2] {
+		g.LoseAnswers.Store(true)
+	}
+	for i := range 40 {
+		id := fmt.Sprint("c", i)
+		p, _, err := b.ask(context.Background(), "POST", "/claim/1", id, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := b.record.Runs(id); n > 1 || p.StatusCode == http.StatusServiceUnavailable && n > 0 {
+			t.Errorf("claim ran %d times, status %d", n, p.StatusCode)
+		}
+	}
+}
+
+// TestOperators checks that metrics and the dump are served.
+func TestOperators(t *testing.T) {
+	b := newLab(t, 1, time.Millisecond)
+	if _, _, err := b.ask(context.Background(), "GET", "/read/1", "o", ""); err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{
+		"/metrics": `amaranthramp_gateway_requests_total{outcome="done",reason="",route="read"} 1`,
+		"/dump":    `"Trust":"Trusted"`,
+	} {
+		p, err := http.Get("http://" + string(b.s.OperatorAddress) + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := io.ReadAll(p.Body)
+		_ = p.Body.Close()
+		if err != nil || !strings.Contains(string(a), want) {
+			t.Errorf("%s lacks %q", path, want)
+		}
+	}
+}
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -30,7 +30,7 @@
 	// Grace is how long the process may go on after it was asked to stop.
 	Grace time.Duration
 	Retry RetryBound
-	// WarmupFactor and WarmupSlack widen the rate that a cold target can bear to what the whole fleet may send in a second.
+	// WarmupFactor and WarmupSlack widen the rate that a cold target can bear to what the fleet may send in a second.
 	WarmupFactor float64
 	WarmupSlack  float64
 	// ProbeRate bounds the probes of one target in a second, from all VMs together.
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -21,7 +21,7 @@
 
 // The bounds on a look.
 const (
-	// nearLooks and farLooks are how many targets are asked in the own data centre and, if none of these is good, in others.
+	// nearLooks and farLooks are how many targets are asked in the own data centre and, if none there is good, in others.
 	nearLooks = 3
 	farLooks  = 5
 	// goodScore is the estimate up to which a near target is taken without asking others.
@@ -211,7 +211,7 @@
 	if rest != nil {
 		rest.upstream.Release(rest.conn)
 	}
-	if full, _ := n.next(); b == nil && ctx.Err() == nil && !(full && asked == 0) {
+	if full, _ := n.next(); b == nil && ctx.Err() == nil && (!full || asked > 0) {
 		// Nobody told anything: health answers may be wrong where requests would succeed. But targets that had no room are
 		// not sent more for lack of probes.
 		b = c.blind(l)
@@ -291,7 +291,7 @@
 	r, n, err := k.upstream.Probe(ctx, q.Service.HealthPath)
 	var s *seen
 	if err == nil {
-		s = c.judge(q, k, r, n)
+		s = c.judge(k, r, n)
 	}
 	select {
 	case answers <- s:
@@ -301,7 +301,7 @@
 }
 
 // judge turns a report into a candidate that may be taken; nil if it may not.
-func (c *Chooser) judge(q *Query, k candidate, r exchange.Report, n *pool.Conn) *seen {
+func (c *Chooser) judge(k candidate, r exchange.Report, n *pool.Conn) *seen {
 	if !r.Healthy {
 		k.upstream.Release(n)
 		return nil
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -247,7 +247,8 @@
 	y, g, end := relayTo(t, f, 5)
 	defer end()
 	n, o := table(true, 2)
-	g.Replace(catalog.Evacuations, []catalog.Record{{Name: "a", Revision: 2, Entry: catalog.Evacuation{DataCentre: "a"}}}, 2)
+	e := catalog.Record{Name: "a", Revision: 2, Entry: catalog.Evacuation{DataCentre: "a"}}
+	g.Replace(catalog.Evacuations, []catalog.Record{e}, 2)
 	a := y.Do(context.Background(), n, o, newCall())
 	if sends, _ := f.counts(); a.Status != 503 || a.Reason != outcome.NoTarget || sends != 0 {
 		t.Errorf("status %d, reason %s, %d sends", a.Status, a.Reason, sends)
--- a/request/warmup/limiter.go
+++ b/request/warmup/limiter.go
@@ -10,8 +10,9 @@
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
 
-// Members tells how many VMs may start requests at the target, this one included; zero when this one may not.
-type Members func(t ident.Target) int
+// Members tells how many VMs may start requests at a cold target that bears the rate, this one included; zero when this
+// one may not.
+type Members func(t ident.Target, rate float64) int
 
 // Limiter grants starts at cold targets; it is safe for concurrent use.
 type Limiter struct {
@@ -29,7 +30,7 @@
 
 // Take reserves one start and reports false when this VM must not start one now.
 func (l *Limiter) Take(t *roster.Target, s *route.Service) bool {
-	n := l.members(t.ID)
+	n := l.members(t.ID, s.WarmupRate)
 	if n == 0 || s.WarmupRate <= 0 {
 		return n > 0
 	}
