--- a/connection/exchange/direct.go
+++ b/connection/exchange/direct.go
@@ -84,7 +84,8 @@
 
 func (d *Direct) probe(n *pool.Conn, path string) (Report, bool, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", path, d.address, d.headers.ExpectIncarnation, d.target)
+	fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n",
+		path, d.address, d.headers.ExpectIncarnation, d.target)
 	if _, err := n.Write(b.Bytes()); err != nil {
 		return Report{}, false, fmt.Errorf("write: %w", err)
 	}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -123,8 +123,8 @@
 	return max(len(f.catalog.Get().Members), 1)
 }
 
-// Sponsors returns how many members share the starts at a cold target that bears the rate, or zero when this VM isn't one
-// of them.
+// Sponsors returns how many members share the starts at a cold target that bears the rate, or zero when this VM isn't
+// one of them.
 func (f *Fleet) Sponsors(t ident.Target, rate float64) int {
 	return sponsorsOf(f.catalog.Get().Members, f.self.Name, t, rate, f.cold)
 }
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -119,7 +119,8 @@
 		if err != nil {
 			return err
 		}
-		c = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(n), jsonrpc2.HandlerWithError(f.handle))
+		h := jsonrpc2.HandlerWithError(f.handle)
+		c = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(n), h)
 		conns[a] = c
 	}
 	_, asOf := f.catalog.Revisions()
--- a/process/fleet/rank_test.go
+++ b/process/fleet/rank_test.go
@@ -26,8 +26,8 @@
 	return l
 }
 
-// TestRank checks that ranks are a permutation, that the first two are in two data centres where there are two, and that
-// the first is of the highest capacity.
+// TestRank checks that ranks are a permutation, that the first two are in two data centres where there are two, and
+// that the first is of the highest capacity.
 func TestRank(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := members(t)
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -62,13 +62,14 @@
 		}
 		t.Cleanup(g.Stop)
 		b.targets = append(b.targets, g)
-		b.store.Put("servers", g.ID, g.Entry("book", "a", "ready"))
+		b.register(t, g, false)
 	}
 	b.s = &gateway.Settings{
 		Name: "vm-1", DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
 		StoreAddress: ident.Address(strings.TrimPrefix(h.URL, "http://")),
-		Grace: 3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second}, ProbeRate: 60,
+		Grace:        3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second},
+		ProbeRate: 60,
 	}
 	c := clock.New()
 	st := platform.NewStore(b.s.StoreAddress, h.Client(), c)
@@ -81,6 +82,18 @@
 	return b
 }
 
+// register writes the entry of a target.
+func (b *lab) register(t *testing.T, g *target.Target, draining bool) {
+	t.Helper()
+	r := g.Registration("book", "a")
+	r.Draining = draining
+	e, err := platform.EncodeTarget(r, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.store.Put(platform.TargetKind, g.ID, e)
+}
+
 func (b *lab) until(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for range 1000 {
@@ -174,7 +187,7 @@
 func TestDraining(t *testing.T) {
 	b := newLab(t, 2, time.Millisecond)
 	g := b.targets[0]
-	b.store.Put("servers", g.ID, g.Entry("book", "a", "draining"))
+	b.register(t, g, true)
 	b.store.Put("config", "main", strings.Replace(fmt.Sprintf(routes, 2), "/read/", "/look/", 1))
 	acked := time.Now()
 	for i := 0; time.Since(acked) < 3*time.Second; i++ {
@@ -208,12 +221,12 @@
 				id := fmt.Sprintf("s%d-%d", i, j)
 				p, _, err := b.ask(context.Background(), "POST", "/claim/1", id, "")
 				switch {
-				case err != nil && b.record.Runs(id) > 0:
+				case err != nil && len(b.record.Runs(id)) > 0:
 					t.Errorf("request %s ran and was cut: %v", id, err)
-				case err == nil && p.StatusCode == http.StatusServiceUnavailable && b.record.Runs(id) > 0:
+				case err == nil && p.StatusCode == http.StatusServiceUnavailable && len(b.record.Runs(id)) > 0:
 					t.Errorf("request %s ran and was refused", id)
-				case b.record.Runs(id) > 1:
-					t.Errorf("request %s ran %d times", id, b.record.Runs(id))
+				case len(b.record.Runs(id)) > 1:
+					t.Errorf("request %s ran %d times", id, len(b.record.Runs(id)))
 				case err != nil:
 					return
 				}
@@ -249,7 +262,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if n := b.record.Runs(id); n > 1 || p.StatusCode == http.StatusServiceUnavailable && n > 0 {
+		if n := len(b.record.Runs(id)); n > 1 || p.StatusCode == http.StatusServiceUnavailable && n > 0 {
 			t.Errorf("claim ran %d times, status %d", n, p.StatusCode)
 		}
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -6,48 +6,58 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
 // queueFactor is how many requests a target queues for each slot.
 const queueFactor = 2
 
+// Run is one time that a target began to work on a request.
+type Run struct {
+	Target string
+	At     time.Time
+}
+
 // Record is what all targets of a test have run; it is safe for concurrent use.
 type Record struct {
 	mu   sync.Mutex
-	runs map[string]int
-	at   map[string]time.Time
+	runs map[string][]Run
+	last map[string]time.Time
 }
 
 // NewRecord returns an empty record.
 func NewRecord() *Record {
-	return &Record{runs: map[string]int{}, at: map[string]time.Time{}}
+	return &Record{runs: map[string][]Run{}, last: map[string]time.Time{}}
 }
 
-// Runs returns how often a request has run.
-func (r *Record) Runs(id string) int {
+// Runs returns when and where a request has run.
+func (r *Record) Runs(id string) []Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.runs[id]
+	return slices.Clone(r.runs[id])
 }
 
 // Last returns when a target last began to run a request; zero if it never did.
 func (r *Record) Last(target string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.at[target]
+	return r.last[target]
 }
 
 func (r *Record) note(id, target string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[id]++
-	r.at[target] = time.Now()
+	now := time.Now()
+	r.runs[id] = append(r.runs[id], Run{Target: target, At: now})
+	r.last[target] = now
 }
 
 // Target is one target; it is safe for concurrent use.
@@ -94,10 +104,12 @@
 	_ = t.server.Close()
 }
 
-// Entry is the target's registration in the store.
-func (t *Target) Entry(service, zone, state string) string {
-	return fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"max-concurrency":%d},`+
-		`"status":{"state":%q,"seq-no":1,"warmup-left-ms":0}}`, t.address, service, zone, t.slots, state)
+// Registration is the target as it registers itself.
+func (t *Target) Registration(s ident.Service, z ident.DataCentre) roster.Target {
+	return roster.Target{
+		ID: ident.Target(t.ID), Service: s, Address: ident.Address(t.address), DataCentre: z, Slots: ident.Slots(t.slots),
+		Born: 1,
+	}
 }
 
 // ServeHTTP answers a probe or runs a request.
