--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -51,7 +51,8 @@
 
 func (s *soak) send(ctx context.Context, c *http.Client, v *vm, method, path, id string) answer {
 	a := answer{sent: time.Now()}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+string(v.settings.CallerAddress)+path, strings.NewReader(""))
+	u := "http://" + string(v.settings.CallerAddress) + path
+	q, err := http.NewRequestWithContext(ctx, method, u, strings.NewReader(""))
 	if err != nil {
 		return a
 	}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -89,8 +90,8 @@
 }
 
 // loop injects faults one after the other, with pauses, until the time is over; several run side by side.
-func (s *soak) loop(r *rand.Rand, until time.Time) {
-	for time.Now().Before(until) {
+func (s *soak) loop(ctx context.Context, r *rand.Rand, until time.Time) {
+	for time.Now().Before(until) && ctx.Err() == nil {
 		time.Sleep(span(r, 100, 1200))
 		f := &faults[r.IntN(len(faults))]
 		s.say("%s begins", f.name)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -146,7 +146,7 @@
 	}
 	until := time.Now().Add(s.options.For)
 	for i := range faultLoops {
-		loops.Go(func() { s.loop(rand.New(rand.NewPCG(s.options.Seed, uint64(i))), until) })
+		loops.Go(func() { s.loop(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i))), until) })
 	}
 	loops.Wait()
 	if err := s.waitReady(recovery); err != nil {
--- a/bench/soak/vm.go
+++ b/bench/soak/vm.go
@@ -33,6 +33,9 @@
 	// store is the relay to the store, which can be cut.
 	store *relay.Relay
 
+	// fault is held by the fault that ends or stops the process, so that each process that was started is also ended.
+	fault sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
@@ -112,6 +115,8 @@
 
 // kill ends the process at once and starts another after a pause.
 func (v *vm) kill(pause time.Duration) error {
+	v.fault.Lock()
+	defer v.fault.Unlock()
 	v.signal(syscall.SIGKILL)
 	<-v.end()
 	v.harm()
@@ -121,6 +126,8 @@
 
 // term is a planned stop and a start after it; it fails when the stop takes longer than the grace time.
 func (v *vm) term() error {
+	v.fault.Lock()
+	defer v.fault.Unlock()
 	v.mu.Lock()
 	v.stopping = time.Now()
 	v.mu.Unlock()
@@ -137,6 +144,8 @@
 
 // freeze stops the process for a time.
 func (v *vm) freeze(d time.Duration) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	v.signal(syscall.SIGCONT)
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -32,6 +32,7 @@
 	statusCommand,
 	historyCommand,
 	dumpCommand,
+	explainCommand,
 }
 
 // Main runs the subcommand that the arguments name and returns the exit code.
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -58,8 +58,8 @@
 	confirmed clock.Instant
 	// restart ends the watches under way, so that each kind is asked for again.
 	restart chan struct{}
-	// missed is a revision of the store that a kind may have missed, missedAt since when, and cleared the last one that was
-	// looked into.
+	// missed is a revision of the store that a kind may have missed, missedAt since when, and cleared the last one that
+	// was looked into.
 	missed   ident.Revision
 	missedAt clock.Instant
 	cleared  ident.Revision
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -72,7 +72,7 @@
 	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, set: set,
-		relay:    relay.New(g, candidate.New(g, set, s.DataCentre, w, f.Members, c, l), b, c, l),
+		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, c, l), b, c, l),
 		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
@@ -85,7 +85,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	h := &handler{catalog: g.catalog, relay: g.relay, headers: g.headers, clock: g.clock, metrics: g.metrics}
+	h := &handler{catalog: g.catalog, relay: g.relay, headers: g.headers, clock: g.clock, metrics: g.metrics, log: g.log}
 	front := &http.Server{
 		Handler: alice.New(g.closing).Then(h), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 	}
--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
@@ -28,6 +30,7 @@
 	headers *exchange.Headers
 	clock   clock.Clock
 	metrics *metrics
+	log     zerolog.Logger
 }
 
 // ServeHTTP answers one request.
@@ -35,17 +38,17 @@
 	began := h.clock.Now()
 	t := h.catalog.Get().Table
 	if t == nil {
-		h.write(w, r, refused(outcome.NoService, http.StatusServiceUnavailable))
+		h.refuse(w, r, refused(outcome.NoService, http.StatusServiceUnavailable), "no configuration is known yet")
 		return
 	}
 	o, ok := t.Find(r.Host, r.URL.Path)
 	if !ok {
-		h.write(w, r, call.GivenUp(outcome.NoService, http.StatusNotFound))
+		h.refuse(w, r, call.GivenUp(outcome.NoService, http.StatusNotFound), "no route matches")
 		return
 	}
 	c, reason := h.read(r, t)
 	if reason != "" {
-		h.write(w, r, call.GivenUp(reason, statusOf(reason)))
+		h.refuse(w, r, call.GivenUp(reason, statusOf(reason)), "the request can't be read")
 		return
 	}
 	a := h.relay.Do(r.Context(), t, o, c)
@@ -53,6 +56,18 @@
 	h.write(w, r, a)
 }
 
+// refuse answers a request that follows no route.
+func (h *handler) refuse(w http.ResponseWriter, r *http.Request, a call.Answer, why string) {
+	version := ident.Version(0)
+	if t := h.catalog.Get().Table; t != nil {
+		version = t.Version
+	}
+	h.log.Info().Str("Request", r.Header.Get(h.headers.RequestID)).Str("Host", r.Host).Str("Path", r.URL.Path).
+		Uint64("Version", uint64(version)).Str("Why", why).Str("Outcome", string(a.Outcome)).
+		Str("Reason", string(a.Reason)).Int("Status", a.Status).Msg("request answered")
+	h.write(w, r, a)
+}
+
 func (h *handler) read(r *http.Request, t *route.Table) (*call.Call, outcome.Reason) {
 	limit := int64(call.MaxBody)
 	if n := int64(t.Limits.BodyBytes); n > 0 {
@@ -120,9 +135,13 @@
 	_, _ = w.Write(a.Body)
 }
 
+// startingRetryAfter is when a caller is told to come back to a VM that has just started: reading the store takes about
+// as long.
+const startingRetryAfter = 200 * time.Millisecond
+
 func refused(r outcome.Reason, status int) call.Answer {
 	a := call.GivenUp(r, status)
-	a.RetryAfter = call.RetryAfterDefault
+	a.RetryAfter = startingRetryAfter
 	return a
 }
 
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -1,11 +1,13 @@
 package candidate
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
@@ -24,6 +26,10 @@
 	// nearLooks and farLooks are how many targets are asked in the own data centre and, if none there is good, in others.
 	nearLooks = 3
 	farLooks  = 5
+	// nearUsual and farUsual are how many targets of a service a VM uses while they have room: twice as many as it asks,
+	// so that one in four may be slow or gone.
+	nearUsual = 6
+	farUsual  = 8
 	// goodScore is the estimate up to which a near target is taken without asking others.
 	goodScore = 1.75
 	// farFactor is how much better a far target has to be, for the bytes between data centres.
@@ -46,6 +52,7 @@
 type Chooser struct {
 	catalog    *catalog.Catalog
 	set        *upstream.Set
+	self       ident.VM
 	dataCentre ident.DataCentre
 	warmup     Warmup
 	members    func() int
@@ -55,11 +62,11 @@
 }
 
 // New returns a chooser for a VM in the data centre; members tells how many VMs there are.
-func New(g *catalog.Catalog, s *upstream.Set, z ident.DataCentre, w Warmup, members func() int, c clock.Clock,
-	l zerolog.Logger,
+func New(g *catalog.Catalog, s *upstream.Set, v ident.VM, z ident.DataCentre, w Warmup, members func() int,
+	c clock.Clock, l zerolog.Logger,
 ) *Chooser {
 	return &Chooser{
-		catalog: g, set: s, dataCentre: z, warmup: w, members: members, clock: c, log: l,
+		catalog: g, set: s, self: v, dataCentre: z, warmup: w, members: members, clock: c, log: l,
 		lanes: lanes{all: map[ident.Service]*lane{}},
 	}
 }
@@ -163,8 +170,8 @@
 	return nil, asked, true
 }
 
-// eligible returns the targets that may get the request. Targets without trust are left out as long as the others are at
-// least half of all.
+// eligible returns the targets that may get the request. Targets without trust are left out as long as the others are
+// at least half of all.
 func (c *Chooser) eligible(q *Query) []candidate {
 	v := c.catalog.Get()
 	now := c.clock.Now()
@@ -198,6 +205,9 @@
 			far = append(far, k)
 		}
 	}
+	if full, _ := n.next(); !full {
+		near, far = c.usual(near, nearUsual), c.usual(far, farUsual)
+	}
 	best, asked := c.ask(ctx, q, sample(near, n.spend(c.clock.Now(), rate, min(len(near), nearLooks))))
 	if best != nil && best.room && best.score <= goodScore {
 		return best, asked
@@ -219,6 +229,22 @@
 	return b, asked
 }
 
+// usual returns the n candidates that this VM uses as long as they have room. They differ from VM to VM, so that all
+// targets are used, but a fleet of many VMs and targets doesn't need a connection from each to each.
+func (c *Chooser) usual(l []candidate, n int) []candidate {
+	if len(l) <= n {
+		return l
+	}
+	slices.SortFunc(l, func(a, b candidate) int {
+		return cmp.Compare(c.affinity(a.target.ID), c.affinity(b.target.ID))
+	})
+	return l[:n]
+}
+
+func (c *Chooser) affinity(t ident.Target) uint64 {
+	return xxhash.Sum64String(string(c.self) + "/" + string(t))
+}
+
 // better returns the better of two and the other one.
 func better(a, b *seen) (best, rest *seen) {
 	switch {
--- a/request/candidate/lane.go
+++ b/request/candidate/lane.go
@@ -19,8 +19,8 @@
 	lookAgain = 25 * time.Millisecond
 )
 
-// lane is what the choices for one service share: the probes that they may still spend, and the order in which they look
-// while the targets have no room, so that those who wait don't load the targets further.
+// lane is what the choices for one service share: the probes that they may still spend, and the order in which they
+// look while the targets have no room, so that those who wait don't load the targets further.
 type lane struct {
 	// turn holds one item, which the request that may look has taken.
 	turn chan struct{}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -81,7 +81,8 @@
 	a := r.run(ctx, s)
 	r.log.Info().Str("Request", string(c.ID)).Str("Route", string(o.Name)).Str("Service", string(c.Service)).
 		Uint64("Version", uint64(t.Version)).Int("Attempts", len(s.tried)).Str("Outcome", string(a.Outcome)).
-		Str("Reason", string(a.Reason)).Int("Status", a.Status).Dur("Took", r.clock.Now().Sub(now)).
+		Str("Reason", string(a.Reason)).Int("Status", a.Status).Dur("Objective", o.Objective).
+		Dur("Took", r.clock.Now().Sub(now)).
 		Msg("request answered")
 	return a
 }
