--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 # Everything that a person runs: see README.md.
-PROGRAMS := amaranthramp amaranthramp-entry amaranthramp-control amaranthramp-load amaranthramp-standin
+PROGRAMS := amaranthramp amaranthramp-gateway amaranthramp-entry amaranthramp-control amaranthramp-load amaranthramp-standin
 GOLANGCI_LINT_VERSION := v2.15.0
 TOOLS := $(CURDIR)/build/tools
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build demo test bench faults lint format generate
+.PHONY: build demo test bench faults soak lint format generate
 
 build:
 	mkdir -p build
@@ -22,6 +22,9 @@
 faults: build
 	build/amaranthramp-load faults
 
+soak: build
+	build/amaranthramp-load soak -seeds 5
+
 lint: $(LINT)
 	$(LINT) run ./...
 
