--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -34,12 +34,14 @@
 	// behindGrace is added to staleAfter for a member that hears of news and is fetching it.
 	behindGrace = 300 * time.Millisecond
 	// firstTurns is the same for a fleet that starts for the first time, when nobody knows anybody.
-	firstTurns = 2 * time.Second
+	firstTurns = 3 * time.Second
 	// firstPause comes before the first of these turns: time to register, so that a reader knows whom to tell.
 	firstPause = 500 * time.Millisecond
-	// startGrace is how long a member that has just started waits for a reader instead of staleAfter: it isn't ready yet,
-	// and all may have started at once.
+	// startGrace is how long a member that starts again waits for a reader instead of staleAfter: it isn't ready yet, and
+	// all may have started at once. firstGrace is the same for a fleet that starts for the first time, 8 s before callers
+	// come.
 	startGrace = 4 * time.Second
+	firstGrace = 6 * time.Second
 	// minReading is how long a member reads at least once it has begun, so that readers don't change all the time.
 	minReading = 3 * time.Second
 	// tick is how often a member looks whether it should read.
@@ -199,7 +201,11 @@
 		f.short = 0
 	}
 	turn := time.Duration(float64(turns) * float64(r) / float64(n))
-	if confirmed == 0 && now.Sub(started) < startGrace {
+	grace := firstGrace
+	if f.known {
+		grace = startGrace
+	}
+	if confirmed == 0 && now.Sub(started) < grace {
 		if r >= len(members) || !f.known {
 			// Nobody has registered yet, so the order is by the hash alone.
 			turn = firstPause + time.Duration(float64(firstTurns)*float64(hash(string(f.self.Name))>>32)/(1<<32))
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -25,7 +25,7 @@
 const newsTimeout = time.Second
 
 // spreadPerMember is the span, for each member, over which the fetches after one digest are spread.
-const spreadPerMember = time.Millisecond
+const spreadPerMember = 3 * time.Millisecond
 
 // serve answers other members until the listener is closed.
 func (f *Fleet) serve(ctx context.Context, l net.Listener) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,9 +34,6 @@
 )
 
 const (
-	// defaultHeaderTimeout and defaultIdleTimeout hold for callers' connections.
-	defaultHeaderTimeout = 10 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
 	// gcPercent lets the heap grow to five times what is live: the process holds little, and each collection takes
 	// processor time from the requests in flight.
 	gcPercent = 400
@@ -86,26 +83,27 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	h := &handler{catalog: g.catalog, relay: g.relay, headers: g.headers, clock: g.clock, metrics: g.metrics, log: g.log}
-	front := &http.Server{
-		Handler: alice.New(g.closing).Then(h), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	callers, err := net.Listen("tcp", string(g.settings.CallerAddress))
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
+	front := newFront(callers, alice.New(g.closing).Then(h))
 	servers := []struct {
 		address ident.Address
-		server  *http.Server
+		handler http.Handler
 	}{
-		{g.settings.CallerAddress, front},
-		{g.settings.ReadyAddress, &http.Server{
-			Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: defaultHeaderTimeout,
-		}},
-		{g.settings.OperatorAddress, &http.Server{Handler: g.operators(), ReadHeaderTimeout: defaultHeaderTimeout}},
+		{g.settings.ReadyAddress, http.HandlerFunc(g.ready)},
+		{g.settings.OperatorAddress, g.operators()},
 	}
-	failed := make(chan error, len(servers)+1)
+	failed := make(chan error, len(servers)+2)
+	go func() { failed <- front.serve() }()
 	for _, s := range servers {
 		l, err := net.Listen("tcp", string(s.address))
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		go func() { failed <- s.server.Serve(l) }()
+		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}
+		go func() { failed <- server.Serve(l) }()
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -115,7 +113,7 @@
 			failed <- err
 		}
 	}()
-	go g.followRoster(life)
+	go g.followCatalog(life, front)
 	go g.reload(life)
 	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
 		Str("DataCentre", string(g.settings.DataCentre)).Msg("gateway started")
@@ -127,11 +125,15 @@
 	}
 }
 
-// followRoster drops the connections to targets that are gone.
-func (g *Gateway) followRoster(ctx context.Context) {
+// followCatalog drops the connections to targets that are gone, and applies the limits of the configuration.
+func (g *Gateway) followCatalog(ctx context.Context, f *front) {
 	for {
 		c := g.catalog.Changed()
-		g.set.Follow(g.catalog.Get().Roster)
+		v := g.catalog.Get()
+		g.set.Follow(v.Roster)
+		if v.Table != nil {
+			f.apply(v.Table.Limits)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -189,13 +191,13 @@
 
 // stop is the planned stop: not ready any more, new connections for as long as the balancer may send some, then the
 // requests in flight to their end.
-func (g *Gateway) stop(front *http.Server) error {
+func (g *Gateway) stop(f *front) error {
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopReserve)
 	defer cancel()
 	g.draining.Store(true)
 	g.log.Info().Msg("planned stop begins")
 	time.Sleep(min(announceTime, g.settings.Grace/2))
-	err := front.Shutdown(ctx)
+	err := f.shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn().Msg("planned stop ends with requests in flight")
 		return nil
