--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -73,7 +73,7 @@
 // Run drops targets that stay away after an outage, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepPause)
+		clock.Sleep(ctx, sweepPause)
 		f.catalog.Sweep()
 	}
 	f.Stop("process ends")
@@ -190,7 +190,7 @@
 			f.checkMissed(b.AsOf)
 		}
 		if len(b.Changes) > 0 {
-			sleep(ctx, batchPause)
+			clock.Sleep(ctx, batchPause)
 		}
 	}
 	return since
@@ -295,13 +295,13 @@
 	f.mu.Lock()
 	d := min(minPause<<min(f.failures, 4), maxPause)
 	f.mu.Unlock()
-	sleep(ctx, d/2+rand.N(d/2))
+	clock.Sleep(ctx, d/2+rand.N(d/2))
 }
 
 // waitForStore holds all kinds but one back while the store is lost, so that an outage costs few calls.
 func (f *Follower) waitForStore(ctx context.Context, k Kind) {
 	for k != Configurations && ctx.Err() == nil && f.lost() {
-		sleep(ctx, minPause/2)
+		clock.Sleep(ctx, minPause/2)
 	}
 }
 
@@ -310,12 +310,3 @@
 	defer f.mu.Unlock()
 	return f.lostAt != 0
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/process/clock/clock.go
+++ b/process/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,18 @@
 	return Instant(t.Nano())
 }
 
+// Sleep waits and reports false when the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // Fake is a clock that tests set by hand; it is safe for concurrent use.
 type Fake struct {
 	now atomic.Int64
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -77,7 +77,7 @@
 	t := claim.NewTransport(p)
 	k := claim.NewKeeper(v, t, c, time.Now)
 	t.Serve(k)
-	m := claim.New(v, t, c, claim.Sleep)
+	m := claim.New(v, t, c, clock.Sleep)
 	e := &Entry{
 		settings: s, incarnation: incarnation, clock: c, log: l, views: v, dispatcher: d, claimer: m, keeper: k,
 		quarantine: q, peers: p,
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -145,7 +145,7 @@
 	f.prime(ctx)
 	for ctx.Err() == nil {
 		f.decide(ctx, started)
-		sleep(ctx, tick)
+		clock.Sleep(ctx, tick)
 	}
 }
 
@@ -251,7 +251,7 @@
 			return
 		}
 		f.log.Warn().Err(err).Msg("not registered as a member yet")
-		sleep(ctx, registerPause)
+		clock.Sleep(ctx, registerPause)
 	}
 }
 
@@ -263,12 +263,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/wire"
 )
 
@@ -102,7 +103,7 @@
 		case <-ctx.Done():
 			return
 		case a := <-f.fetch.Out():
-			sleep(ctx, rand.N(time.Duration(f.Members())*spreadPerMember+1))
+			clock.Sleep(ctx, rand.N(time.Duration(f.Members())*spreadPerMember+1))
 			if err := f.fetchFrom(ctx, conns, a); err != nil {
 				f.log.Warn().Str("From", string(a)).Err(err).Msg("news not fetched")
 			}
--- a/process/gateway/front.go
+++ b/process/gateway/front.go
@@ -17,8 +17,8 @@
 	defaultIdleTimeout   = 60 * time.Second
 )
 
-// front serves callers under the limits of the configuration. The limits of a server can't change, so new ones come with
-// a new server for the connections from then on; open connections keep theirs.
+// front serves callers under the limits of the configuration. The limits of a server can't change, so new ones come
+// with a new server for the connections from then on; open connections keep theirs.
 type front struct {
 	listener net.Listener
 	handler  http.Handler
--- a/request/claim/claimer.go
+++ b/request/claim/claimer.go
@@ -40,11 +40,6 @@
 	return &Claimer{views: v, network: n, clock: c, pause: p}
 }
 
-// Sleep is the pause in real time.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	return sleep(ctx, d)
-}
-
 // Ticket is the right to run the request of a key once.
 type Ticket struct {
 	claimer *Claimer
--- a/request/claim/sync.go
+++ b/request/claim/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/process/view"
 	"github.com/amaranthramp/amaranthramp/wire"
 )
@@ -23,7 +24,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	pause := syncPause
 	complete, tried := ident.Epoch(0), ident.Epoch(0)
-	for sleep(ctx, pause) {
+	for clock.Sleep(ctx, pause) {
 		n := ident.Epoch(k.views.Get().Epoch.GetNumber())
 		if n == complete {
 			pause = syncPause
@@ -39,18 +40,6 @@
 	}
 }
 
-// sleep reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Sync asks former keepers once for the records that this keeper lacks and reports whether none lack any more.
 func (k *Keeper) Sync(ctx context.Context) bool {
 	l := k.questions()
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
 )
 
@@ -24,10 +25,10 @@
 func (r *Relay) watchdog(ctx context.Context, giveUp context.CancelCauseFunc, s *attempts, h *candidate.Choice) {
 	silence := max(time.Duration(silenceFactor*h.Score*float64(r.work.Of(s.route.Name))), minSilence)
 	for {
-		if !pause(ctx, silence) {
+		if !clock.Sleep(ctx, silence) {
 			return
 		}
-		if !r.lost(ctx, s, h) || !pause(ctx, answerGrace) {
+		if !r.lost(ctx, s, h) || !clock.Sleep(ctx, answerGrace) {
 			continue
 		}
 		r.log.Info().Str("Request", string(s.call.ID)).Str("Target", string(h.Upstream.Target.ID)).
@@ -48,15 +49,3 @@
 	}
 	return p.HasLoad && p.Running+p.Waiting == 0
 }
-
-// pause waits and reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
