--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -12,9 +12,12 @@
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
-// maxConnections bounds the connections of this VM to one target; it is above the slots and places in the queue of any
-// target that is known, and small beside what a target accepts.
-const maxConnections = 10
+// The bounds on the connections of this VM to one target. The upper one is above the slots and places in the queue of
+// any target that is known; below the lower one a target could not be asked for its load while it runs a request.
+const (
+	maxConnections = 10
+	minConnections = 2
+)
 
 // key tells incarnations apart; one that starts again under its id knows nothing of before.
 type key struct {
@@ -38,14 +41,18 @@
 	return &Set{clock: c, log: l, headers: h, dial: d, all: map[key]*Upstream{}}
 }
 
-// Of returns the upstream of a target.
-func (s *Set) Of(t roster.Target) *Upstream {
+// Of returns the upstream of a target, to which this VM may open the given number of connections; zero is no bound.
+func (s *Set) Of(t roster.Target, connections int) *Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{id: t.ID, born: t.Born}
 	u, ok := s.all[k]
 	if !ok || u.Target.Address != t.Address {
-		p := exchange.NewPool(t.Address, maxConnections, s.dial, s.clock)
+		limit := maxConnections
+		if connections > 0 {
+			limit = min(max(connections, minConnections), maxConnections)
+		}
+		p := exchange.NewPool(t.Address, limit, s.dial, s.clock)
 		u = &Upstream{
 			Target: t, clock: s.clock, log: s.log, trust: newTrust(),
 			direct: exchange.NewDirect(t.ID, t.Address, p, s.clock, s.headers),
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -175,12 +175,13 @@
 func (c *Chooser) eligible(q *Query) []candidate {
 	v := c.catalog.Get()
 	now := c.clock.Now()
+	connections := q.Service.MaxConnections / max(c.members(), 1)
 	var usable, doubtful []candidate
 	for _, t := range v.Roster.Of(q.Service.Name) {
 		if slices.Contains(q.Tried, t.ID) {
 			continue
 		}
-		u := c.set.Of(t)
+		u := c.set.Of(t, connections)
 		k := candidate{upstream: u, target: t, cold: now < max(u.ColdUntil(), t.ColdUntil)}
 		if u.Usable() {
 			usable = append(usable, k)
