--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -45,5 +45,10 @@
 	defer cancel()
 	p, n, err := h.Upstream.Probe(c, s.service.HealthPath)
 	h.Upstream.Release(n)
-	return err == nil && p.HasLoad && p.Running+p.Waiting == 0
+	if err != nil {
+		r.log.Info().Str("Request", string(s.call.ID)).Str("Target", string(h.Upstream.Target.ID)).Err(err).
+			Msg("target does not say whether it runs the request")
+		return false
+	}
+	return p.HasLoad && p.Running+p.Waiting == 0
 }
