Hold the members that all know to the 2 s in which a change is in force

Cause: TestFewReaders failed once in a run of the whole script: it asked for the number of members at the very moment at which two members read, before the others had fetched the last registrations. The promise is that a change is in force within 2 s; the check now waits so long and no longer, and asks that still two members read.

--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -138,11 +138,14 @@
 func TestFewReaders(t *testing.T) {
 	b := newBed(t, 6)
 	b.settle(t)
-	for _, n := range b.nodes {
-		if m := n.fleet.Members(); m != 6 {
-			t.Errorf("a member knows %d members", m)
+	until(t, inForceWithin, "all members known to all", func() bool {
+		for _, n := range b.nodes {
+			if n.fleet.Members() != len(b.nodes) {
+				return false
+			}
 		}
-	}
+		return b.readers() == 2
+	})
 	before := b.store.Calls()
 	b.change()
 	until(t, inForceWithin, "change", func() bool { return b.inForce(2) })
