--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// gcPercent lets the heap grow to five times what is live: the process holds little, and each collection takes
 	// processor time from the requests in flight.
 	gcPercent = 400
+	// memoryShare is the part of the VM's memory above which the collector runs more often: a reader whose members all
+	// fetch at once would else let its heap grow to five times what is live.
+	memoryShare = 0.4
 )
 
 // Gateway is the process of one VM.
@@ -82,6 +85,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if m := g.settings.Memory; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
+	}
 	h := &handler{catalog: g.catalog, relay: g.relay, headers: g.headers, clock: g.clock, metrics: g.metrics, log: g.log}
 	callers, err := net.Listen("tcp", string(g.settings.CallerAddress))
 	if err != nil {
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -69,7 +70,7 @@
 		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
 		StoreAddress: ident.Address(strings.TrimPrefix(h.URL, "http://")),
 		Grace:        3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second},
-		ProbeRate: 60,
+		ProbeRate: 60, Memory: 200 << 20,
 	}
 	c := clock.New()
 	st := platform.NewStore(b.s.StoreAddress, h.Client(), c)
@@ -155,6 +156,15 @@
 	}
 }
 
+// TestMemoryLimit checks that the collector knows how much memory the VM has. A reader of the store once grew over the
+// limit of its VM while all members fetched from it.
+func TestMemoryLimit(t *testing.T) {
+	b := newLab(t, 1, time.Millisecond)
+	if n := debug.SetMemoryLimit(-1); n <= 0 || n > int64(b.s.Memory)/2 {
+		t.Errorf("the collector's limit is %d bytes, the VM has %d", n, b.s.Memory)
+	}
+}
+
 // TestPipelined checks that requests that are sent before the first is answered are answered in order.
 func TestPipelined(t *testing.T) {
 	b := newLab(t, 3, 20*time.Millisecond)
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -27,6 +27,8 @@
 	// Cores and LinkMbps are what the VM has of processors and network, in megabits a second.
 	Cores    float64
 	LinkMbps float64
+	// Memory is what the process may use; zero is no bound.
+	Memory ident.Bytes
 	// Grace is how long the process may go on after it was asked to stop.
 	Grace time.Duration
 	Retry RetryBound
