--- a/connection/exchange/direct_test.go
+++ b/connection/exchange/direct_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -269,7 +268,4 @@
 	if v, ok := x.Event.(outcome.NeverWritten); !ok || v.Reason != outcome.Expired {
 		t.Errorf("event %#v", x.Event)
 	}
-	if errors.Is(ErrLost, errCrossed) {
-		t.Error("two errors are one")
-	}
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -72,7 +72,7 @@
 	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, set: set,
-		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, c, l), b, c, l),
+		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
 		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -56,17 +56,23 @@
 	dataCentre ident.DataCentre
 	warmup     Warmup
 	members    func() int
-	clock      clock.Clock
-	log        zerolog.Logger
-	lanes      lanes
+	// probes is how many probes a second all VMs together send to a target.
+	probes float64
+	clock  clock.Clock
+	log    zerolog.Logger
+	lanes  lanes
 }
 
-// New returns a chooser for a VM in the data centre; members tells how many VMs there are.
+// New returns a chooser for a VM in the data centre; members tells how many VMs there are, and probeRate is how many
+// probes a second a target may get from all of them.
 func New(g *catalog.Catalog, s *upstream.Set, v ident.VM, z ident.DataCentre, w Warmup, members func() int,
-	c clock.Clock, l zerolog.Logger,
+	probeRate float64, c clock.Clock, l zerolog.Logger,
 ) *Chooser {
+	if probeRate <= 0 {
+		probeRate = defaultProbeRate
+	}
 	return &Chooser{
-		catalog: g, set: s, self: v, dataCentre: z, warmup: w, members: members, clock: c, log: l,
+		catalog: g, set: s, self: v, dataCentre: z, warmup: w, members: members, probes: probeShare * probeRate, clock: c, log: l,
 		lanes: lanes{all: map[ident.Service]*lane{}},
 	}
 }
@@ -126,7 +132,7 @@
 
 // Choose returns the target for one request, or why there is none.
 func (c *Chooser) Choose(ctx context.Context, q *Query) (Choice, outcome.Reason) {
-	l := c.lanes.of(q.Service.Name, c.clock.Now())
+	l := c.lanes.of(q.Service.Name, c.clock.Now(), c.probes)
 	asked := 0
 	for {
 		ok, held := l.enter(ctx, c.clock, q.Until)
@@ -197,7 +203,7 @@
 
 // look asks candidates, near ones first, and returns the best; the connections of the others are given back.
 func (c *Chooser) look(ctx context.Context, q *Query, n *lane, l []candidate) (*seen, int) {
-	rate := probesPerTarget * float64(len(l)) / float64(max(c.members(), 1))
+	rate := c.probes * float64(len(l)) / float64(max(c.members(), 1))
 	var near, far []candidate
 	for _, k := range l {
 		if k.target.DataCentre == c.dataCentre {
--- a/request/candidate/lane.go
+++ b/request/candidate/lane.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// probesPerTarget is how often a second a target is asked by all VMs together: three quarters of what the platform
-	// allows. At 6 ms of a slot each, the largest cost that is known, it takes a quarter of one slot.
-	probesPerTarget = 45
+	// probeShare is the part of the probes that the settings allow at a target which all VMs together send: at 60 a second
+	// and 6 ms of a slot each, the largest cost that is known, they take a quarter of one slot.
+	probeShare = 0.75
+	// defaultProbeRate holds where the settings state no bound: a third of what the users' platform allows.
+	defaultProbeRate = 20
 	// maxSaved is how many probes a lane can save up for a burst, as seconds of its rate.
 	maxSaved = 2 * time.Second
 	// lookAgain is the pause before targets without room are asked again.
@@ -32,8 +34,9 @@
 	nextAt clock.Instant
 }
 
-func newLane(now clock.Instant) *lane {
-	l := &lane{turn: make(chan struct{}, 1), at: now, saved: probesPerTarget}
+// newLane returns a lane with some probes saved.
+func newLane(now clock.Instant, saved float64) *lane {
+	l := &lane{turn: make(chan struct{}, 1), at: now, saved: saved}
 	l.turn <- struct{}{}
 	return l
 }
@@ -44,12 +47,12 @@
 	all map[ident.Service]*lane
 }
 
-func (l *lanes) of(s ident.Service, now clock.Instant) *lane {
+func (l *lanes) of(s ident.Service, now clock.Instant, saved float64) *lane {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n, ok := l.all[s]
 	if !ok {
-		n = newLane(now)
+		n = newLane(now, saved)
 		l.all[s] = n
 	}
 	return n
--- a/request/candidate/score_test.go
+++ b/request/candidate/score_test.go
@@ -85,14 +85,14 @@
 // TestLaneSpend checks that no span has more probes than its rate and what was saved.
 func TestLaneSpend(t *testing.T) {
 	c := clock.NewFake()
-	l := newLane(c.Now())
+	const rate, seconds, saved = 10.0, 30, 45
+	l := newLane(c.Now(), saved)
 	spent := 0
-	const rate, seconds = 10.0, 30
 	for range seconds * 100 {
 		c.Advance(10 * time.Millisecond)
 		spent += l.spend(c.Now(), rate, 3)
 	}
-	if most := rate*(seconds+maxSaved.Seconds()) + probesPerTarget; float64(spent) > most {
+	if most := rate*(seconds+maxSaved.Seconds()) + saved; float64(spent) > most {
 		t.Errorf("%d probes in %d s, at most %.0f", spent, seconds, most)
 	}
 	if spent < rate*seconds {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -150,7 +150,7 @@
 	}
 	g.Replace(catalog.Targets, records, 1)
 	set := upstream.NewSet(c, zerolog.Nop(), names, pool.DialTCP)
-	h := candidate.New(g, set, "vm", "a", always{}, func() int { return 1 }, c, zerolog.Nop())
+	h := candidate.New(g, set, "vm", "a", always{}, func() int { return 1 }, 60, c, zerolog.Nop())
 	b := retry.NewWindow(c, 0, func() float64 { return slack }, 10*time.Second)
 	return New(g, h, b, c, zerolog.Nop()), g, func() {
 		for _, l := range listeners {
