--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -72,7 +72,8 @@
 		probeRate = defaultProbeRate
 	}
 	return &Chooser{
-		catalog: g, set: s, self: v, dataCentre: z, warmup: w, members: members, probes: probeShare * probeRate, clock: c, log: l,
+		catalog: g, set: s, self: v, dataCentre: z, warmup: w, members: members, probes: probeShare * probeRate,
+		clock: c, log: l,
 		lanes: lanes{all: map[ident.Service]*lane{}},
 	}
 }
