Let a deputy hold the lease of a dead member while the platform is away

Cause: TestPlatformGoneAndKill was red: a dead member stays in the epoch while no epoch can be written, and only the owner that the epoch computes could get the lease of its shards (7.4 to 9.2 s without a request, bound 3 s). A witness now grants a member's lease to one holder at a time: the member, or a deputy while the member is silent. Closing: an owner's word about its former tenures counts only once a majority of their witnesses told it that no deputy can hold them; its own former tenures stand in the way of its own new ones as well. TestHandover: the former owner's own view lists its tenure only while a deputy may hold it; the test's view follows that, and a row for the deputy is new. Before: row PlatformGoneAndKill failed.

--- a/process/control/control.go
+++ b/process/control/control.go
@@ -182,6 +182,8 @@
 	Version  ident.Version
 	Epoch    *wire.Epoch
 	LeaseFor string
+	// Deputies are the members that hold the leases of silent ones.
+	Deputies []membership.Deputy `json:",omitempty"`
 }
 
 func (c *Control) dump() Dump {
@@ -193,6 +195,7 @@
 	m := c.membership.State()
 	d.Member = ident.Member(e.self.GetId())
 	d.Epoch = m.Epoch
+	d.Deputies = m.Deputies
 	d.LeaseFor = m.LeaseUntil.Sub(c.clock.Now()).String()
 	return d
 }
--- a/process/control/send.go
+++ b/process/control/send.go
@@ -40,6 +40,11 @@
 		LeaseUntil:           int64(m.LeaseUntil),
 		EpochNumber:          m.Epoch.GetNumber(),
 	}
+	for _, d := range m.Deputies {
+		v.Deputies = append(v.Deputies, &wire.ViewDeputy{
+			Of: string(d.Of), By: string(d.By), LeaseUntil: int64(d.LeaseUntil),
+		})
+	}
 	if !proto.Equal(e.epoch, m.Epoch) {
 		v.Epoch = m.Epoch
 	}
--- a/process/dispatch/ask.go
+++ b/process/dispatch/ask.go
@@ -92,6 +92,10 @@
 			l = append(l, m)
 		}
 	}
+	if o := d.tables.Of(v).Owner(id); o != nil && o.GetId() != string(v.Self) {
+		// This member is the deputy of a silent owner.
+		l = append(l, o)
+	}
 	for _, e := range v.Epoch.GetEarlier() {
 		add(e.GetMembers(), true)
 	}
--- a/process/dispatch/attempt.go
+++ b/process/dispatch/attempt.go
@@ -52,21 +52,22 @@
 // is paused hands nothing over, and its successor could start another one beside it.
 func (d *Dispatcher) check(o *owned, c *call.Call, p *place) outcome.Reason {
 	v := d.views.Get()
-	if !v.Leased(d.clock.Now()) {
-		return outcome.NoLease
-	}
 	h, s, ok := d.tables.Of(v).Shard(c.Shard)
 	if !ok || !d.owns(v, c.Shard) {
 		return outcome.NotOwner
 	}
+	until := d.leaseUntil(v, c.Shard)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := d.clock.Now()
+	if until <= now {
+		return outcome.NoLease
+	}
 	o.schedule.follow(now, v, s, h)
 	if st := p.target.State(); st == target.Leaving || st == target.Gone {
 		return outcome.NoTarget
 	}
-	if p.target.State() != target.Warm && v.LeaseUntil.Sub(now) < min(c.Deadline.Sub(now), coldMargin) {
+	if p.target.State() != target.Warm && until.Sub(now) < min(c.Deadline.Sub(now), coldMargin) {
 		return outcome.NoLease
 	}
 	return ""
--- a/process/dispatch/owner.go
+++ b/process/dispatch/owner.go
@@ -18,7 +18,7 @@
 		return nil, outcome.NotOwner
 	}
 	now := d.clock.Now()
-	if !v.Leased(now) {
+	if d.leaseUntil(v, id) <= now {
 		return nil, outcome.NoLease
 	}
 	o := d.shard(id, now)
@@ -46,10 +46,15 @@
 	return o
 }
 
-// owns reports whether this member owns the shard and no earlier owner can still dispatch it.
+// leaseUntil returns when the lease ends by which this member dispatches the shard; zero without one.
+func (d *Dispatcher) leaseUntil(v *view.View, id ident.Shard) clock.Instant {
+	return v.LeaseOf(d.tables.Of(v).Owner(id))
+}
+
+// owns reports whether this member owns the shard, or is the owner's deputy, and no earlier owner can still dispatch it.
 func (d *Dispatcher) owns(v *view.View, id ident.Shard) bool {
 	t := d.tables.Of(v)
-	m := t.Owner(id)
+	m := t.Dispatcher(id, v)
 	if m == nil || m.GetId() != string(v.Self) {
 		return false
 	}
--- a/process/dispatch/part.go
+++ b/process/dispatch/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -50,7 +51,7 @@
 
 // handover returns what the next owner is to know now.
 func (s *schedule) handover(now clock.Instant, v *view.View) handover.Handover {
-	h := handover.Handover{Shard: s.id, Member: v.Self, Epoch: ident.Epoch(v.Epoch.GetNumber())}
+	h := handover.Handover{Shard: s.id, Member: v.Self, Epoch: closedBefore(v)}
 	for _, p := range s.places {
 		t := handover.Target{Address: p.address, Snapshot: s.parting.trust[p], Left: max(p.until.Sub(now), 0)}
 		t.InFlight = p.target.InFlight(now)
@@ -59,6 +60,17 @@
 	return h
 }
 
+// closedBefore returns the epoch before which no tenure of this member is open: a deputy may still hold a lease for it.
+func closedBefore(v *view.View) ident.Epoch {
+	n := v.Epoch.GetNumber()
+	for _, e := range v.Epoch.GetEarlier() {
+		if slices.Contains(e.GetOpen(), string(v.Self)) {
+			n = min(n, e.GetNumber())
+		}
+	}
+	return ident.Epoch(n)
+}
+
 // adopt takes over what a former owner told.
 func (s *schedule) adopt(now clock.Instant, r *handover.Received) {
 	s.heirs[r.Member] = r
@@ -94,7 +106,7 @@
 	for _, o := range d.all() {
 		o.mu.Lock()
 		s := o.schedule
-		m := t.Owner(s.id)
+		m := t.Dispatcher(s.id, v)
 		if s.parting == nil || m == nil || m.GetId() == string(v.Self) {
 			o.mu.Unlock()
 			continue
@@ -112,7 +124,7 @@
 // Told notes that the owner under the handover's epoch has taken it.
 func (d *Dispatcher) Told(h *handover.Handover) {
 	v := d.views.Get()
-	m := d.tables.Of(v).Owner(h.Shard)
+	m := d.tables.Of(v).Dispatcher(h.Shard, v)
 	d.mu.Lock()
 	o, ok := d.shards[h.Shard]
 	d.mu.Unlock()
--- a/process/dispatch/part_test.go
+++ b/process/dispatch/part_test.go
@@ -30,8 +30,9 @@
 	return p, g.start
 }
 
-// turn makes the next one the owner under epoch 8; the lease of the former one may still be valid.
-func (p *pair) turn() {
+// turn makes the next one the owner under epoch 8; the lease of the former one may still be valid. The former one's own
+// view lists that tenure only while a deputy may hold the lease.
+func (p *pair) turn(deputy bool) {
 	f := func(v *view.View) {
 		you := []*wire.Member{{Id: "you", DataCentre: "here", PeerAddress: "you"}}
 		me := []*wire.Member{{Id: "me", DataCentre: "here", PeerAddress: "me"}}
@@ -39,7 +40,12 @@
 			Number: 8, Members: you, Earlier: []*wire.EarlierEpoch{{Number: 7, Members: me, Open: []string{"me"}}},
 		}
 	}
-	p.former.set(f, 1)
+	p.former.set(func(v *view.View) {
+		f(v)
+		if !deputy {
+			v.Epoch.Earlier = nil
+		}
+	}, 1)
 	p.next.set(func(v *view.View) { f(v); v.Self = "you" }, 1)
 	p.former.dispatcher.Tick()
 }
@@ -51,20 +57,22 @@
 		answers int
 		send    bool
 		ended   bool
+		deputy  bool
 		ready   bool
 		state   target.State
 		room    int
 	}{
-		{"nothing told, lease may be valid", 3 * evidence, false, false, false, "", 0},
-		{"cold, one in flight", 1, true, false, true, target.Cold, 0},
-		{"cold, ended", 1, true, true, true, target.Cold, cold},
-		{"warm, one in flight", 4 * evidence, true, false, true, target.Warm, slots - 1},
-		{"warm, ended", 4 * evidence, true, true, true, target.Warm, slots},
+		{"nothing told, lease may be valid", 3 * evidence, false, false, false, false, "", 0},
+		{"told, a deputy may hold the lease", 3 * evidence, true, false, true, false, "", 0},
+		{"cold, one in flight", 1, true, false, false, true, target.Cold, 0},
+		{"cold, ended", 1, true, true, false, true, target.Cold, cold},
+		{"warm, one in flight", 4 * evidence, true, false, false, true, target.Warm, slots - 1},
+		{"warm, ended", 4 * evidence, true, true, false, true, target.Warm, slots},
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
 			p, b := newPair(r.answers)
-			p.turn()
+			p.turn(r.deputy)
 			s := handover.NewSender(p.former.dispatcher, p.former)
 			if r.send {
 				s.Send(context.Background())
@@ -118,7 +126,7 @@
 				p.former = newBench(1)
 			}
 			old := p.former.views.Get()
-			p.turn()
+			p.turn(false)
 			if !r.followed {
 				p.former.views.Set(old)
 			}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -199,6 +199,7 @@
 		Version:    old.Version,
 		Config:     old.Config,
 		LeaseUntil: clock.Instant(m.GetLeaseUntil()),
+		Deputies:   deputiesOf(m),
 		Leaving:    map[ident.Address]bool{},
 	}
 	for _, a := range m.GetLeavingUpstreams() {
@@ -221,6 +222,19 @@
 	e.taken.Replace(struct{}{})
 }
 
+// deputiesOf returns the deputies of silent members; one that is not a member of the epoch is passed over.
+func deputiesOf(m *wire.View) map[ident.Member]view.Deputy {
+	l := map[ident.Member]view.Deputy{}
+	for _, d := range m.GetDeputies() {
+		for _, o := range m.GetEpoch().GetMembers() {
+			if o.GetId() == d.GetBy() {
+				l[ident.Member(d.GetOf())] = view.Deputy{Member: o, LeaseUntil: clock.Instant(d.GetLeaseUntil())}
+			}
+		}
+	}
+	return l
+}
+
 // sameEpoch tells whether a view without an epoch is for the one in use; a lease must not be put to another one.
 func sameEpoch(m *wire.View, old *view.View) bool {
 	return m.GetSelf() == string(old.Self) && m.GetEpochNumber() == old.Epoch.GetNumber()
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -27,10 +27,11 @@
 	frame *wire.Frame
 }
 
-// sent is a renewal that waits for grants.
+// sent is a renewal that waits for grants; subject is the silent member whose lease it asks for, zero for the own one.
 type sent struct {
-	epoch uint64
-	at    clock.Instant
+	epoch   uint64
+	subject lease.Key
+	at      clock.Instant
 }
 
 // core decides for one control process, without I/O and clock; its caller serializes all calls.
@@ -57,10 +58,12 @@
 	shown       *wire.Epoch
 	shownHolder *lease.Holder
 
-	// inForce and version are what the entry process uses, newest the newest configuration known.
-	inForce uint64
-	version ident.Version
-	newest  ident.Version
+	// inForce and version are what the entry process uses, newest the newest configuration known. The tenures before
+	// closed are over, which the others were told up to announced.
+	inForce           uint64
+	closed, announced uint64
+	version           ident.Version
+	newest            ident.Version
 
 	sequence uint64
 	sent     map[uint64]sent
@@ -70,16 +73,21 @@
 	members  map[lease.Key]*wire.Member
 	closing  *closing
 	suspects *suspects
-	joiners  map[lease.Key]joiner
-	prunable clock.Instant
-	cache    usable
+	// deputies are the silent members whose leases this one asks for, heardDeputies who holds those of others, and rests
+	// until when this one doesn't ask.
+	deputies      map[lease.Key]*deputy
+	heardDeputies map[lease.Key]heardDeputy
+	rests         map[lease.Key]clock.Instant
+	joiners       map[lease.Key]joiner
+	prunable      clock.Instant
+	cache         usable
 	// flaws are rules that tests remove to see that their oracle notices.
 	flaws flaws
 }
 
 // flaws names the rules that a test can remove; the product never sets one.
 type flaws struct {
-	fromReceipt, anyEpoch, noEarlier, anyTarget, noFloor bool
+	fromReceipt, anyEpoch, noEarlier, anyTarget, noFloor, twoHolders, deputyUntold bool
 }
 
 // usable is the epoch that the entry gets, computed from an epoch and the tenures closed so far.
@@ -93,7 +101,8 @@
 	return &core{
 		witness: witness.New(now), mine: map[lease.Key]bool{}, epoch: &wire.Epoch{}, shown: &wire.Epoch{},
 		adopted: now, sent: map[uint64]sent{}, members: map[lease.Key]*wire.Member{}, closing: newClosing(),
-		suspects: newSuspects(), joiners: map[lease.Key]joiner{},
+		suspects: newSuspects(), joiners: map[lease.Key]joiner{}, deputies: map[lease.Key]*deputy{},
+		heardDeputies: map[lease.Key]heardDeputy{}, rests: map[lease.Key]clock.Instant{},
 	}
 }
 
@@ -104,8 +113,9 @@
 	c.mine[c.key] = true
 	c.leaving, c.detached = false, false
 	c.unread = 0
-	c.inForce = 0
+	c.inForce, c.closed, c.announced = 0, 0, 0
 	c.version = 0
+	clear(c.deputies)
 	c.entrance = entrance{}
 	c.holder = nil
 	c.hold()
@@ -134,9 +144,9 @@
 	return c.unread != 0 && now.Sub(max(c.unread, c.suspects.resumed)) > reportTimeout
 }
 
-// left tells whether this member is out of the epoch and its entry uses that epoch.
+// left tells whether this member is out of the epoch, its entry uses that epoch, and its tenures are over.
 func (c *core) left() bool {
-	return c.leaving && !c.isMember() && c.inForce >= c.epoch.GetNumber()
+	return c.leaving && !c.isMember() && c.closed >= c.epoch.GetNumber()
 }
 
 // adopt takes an epoch unless a newer one is known.
@@ -157,6 +167,9 @@
 		c.members[lease.KeyOf(m)] = m
 	}
 	c.suspects.follow(now, c.key, e.GetMembers())
+	clear(c.deputies)
+	clear(c.heardDeputies)
+	clear(c.rests)
 	c.hold()
 	if c.self != nil && !c.isMember() {
 		c.entrance.shut(now)
@@ -185,19 +198,30 @@
 	}
 	kept := c.shownHolder != nil && c.shownHolder.Until() > now
 	same := c.shown.GetNumber() == c.epoch.GetNumber()
-	if !kept || same || c.holder == nil || c.holder.Until() > now {
+	own := c.closing.closedBefore(c.key, c.epoch.GetNumber()) == c.epoch.GetNumber()
+	if !kept || same || c.holder == nil || own && c.holder.Until() > now {
 		c.shown, c.shownHolder = c.epoch, c.holder
 	}
 }
 
 // enforce notes which epoch and configuration the entry process uses, and tells the others of a new epoch.
-func (c *core) enforce(epoch uint64, v ident.Version) []packet {
+func (c *core) enforce(now clock.Instant, epoch uint64, v ident.Version) []packet {
 	c.version = v
 	c.unread = 0
-	if epoch <= c.inForce {
+	c.inForce = max(c.inForce, epoch)
+	return c.settleClosed(now)
+}
+
+// settleClosed decides which tenures of this member are over, and tells the others.
+func (c *core) settleClosed(now clock.Instant) []packet {
+	c.closing.settle(now, c.key)
+	c.closed = max(c.closed, c.closing.closedBefore(c.key, c.inForce))
+	c.closing.says(c.key, c.closed)
+	c.settle(now)
+	if c.closed <= c.announced {
 		return nil
 	}
-	c.inForce = epoch
+	c.announced = c.closed
 	return c.announce()
 }
 
@@ -227,6 +251,9 @@
 	if c.shownHolder != nil {
 		s.LeaseUntil = c.shownHolder.Until()
 	}
+	if c.shown == c.epoch {
+		s.Deputies = c.allDeputies(now, s.LeaseUntil)
+	}
 	return s
 }
 
@@ -236,7 +263,9 @@
 		return c.cache.epoch
 	}
 	e := proto.Clone(c.shown).(*wire.Epoch)
-	e.Earlier = c.closing.prune(e)
+	e.Earlier = prune(e, func(epoch uint64, id string) bool {
+		return c.closing.isClosed(epoch, id) || c.closing.ownOnly(epoch, id, c.key)
+	})
 	if c.flaws.noEarlier {
 		e.Earlier = nil
 	}
@@ -246,9 +275,9 @@
 
 // tick does what is due and returns what is to be sent.
 func (c *core) tick(now clock.Instant) []packet {
-	c.closing.settle(now)
-	c.settle(now)
-	r := c.renew(now)
+	r := c.settleClosed(now)
+	r = append(r, c.renew(now)...)
+	r = append(r, c.deputise(now)...)
 	r = append(r, c.askOpen(now)...)
 	r = append(r, c.suspect(now)...)
 	r = append(r, c.knock(now)...)
@@ -269,16 +298,21 @@
 		return nil
 	}
 	c.renewed = now
-	c.sequence++
-	c.sent[c.sequence] = sent{epoch: c.holder.Epoch, at: now}
 	for s, q := range c.sent {
 		if now.Sub(q.at) > lease.Term {
 			delete(c.sent, s)
 		}
 	}
+	return c.ask(now, c.holder, 0)
+}
+
+// ask asks the witnesses of a lease for its renewal; subject is the silent member whose it is, zero for the own one.
+func (c *core) ask(now clock.Instant, h *lease.Holder, subject lease.Key) []packet {
+	c.sequence++
+	c.sent[c.sequence] = sent{epoch: h.Epoch, subject: subject, at: now}
 	var r []packet
-	for _, m := range c.holder.Witnesses {
-		q := &wire.LeaseRequest{Sequence: c.sequence, Version: uint64(c.version)}
+	for _, m := range h.Witnesses {
+		q := &wire.LeaseRequest{Sequence: c.sequence, Version: uint64(c.version), Subject: uint64(subject)}
 		r = append(r, c.packet(m, &wire.Frame{Body: &wire.Frame_Request{Request: q}}))
 	}
 	return r
@@ -293,7 +327,7 @@
 func (c *core) header(f *wire.Frame) *wire.Frame {
 	f.Sender = uint64(c.key)
 	f.Epoch = c.witness.Promised()
-	f.InForce = c.inForce
+	f.Closed = c.closed
 	f.Version = uint64(c.newest)
 	return f
 }
--- a/process/membership/datagram_test.go
+++ b/process/membership/datagram_test.go
@@ -40,7 +40,7 @@
 func anyFrame(t *rapid.T) *wire.Frame {
 	n := rapid.Uint64()
 	f := &wire.Frame{
-		Sender: n.Draw(t, "sender"), Target: n.Draw(t, "target"), Epoch: n.Draw(t, "epoch"), InForce: n.Draw(t, "force"),
+		Sender: n.Draw(t, "sender"), Target: n.Draw(t, "target"), Epoch: n.Draw(t, "epoch"), Closed: n.Draw(t, "force"),
 	}
 	switch rapid.IntRange(0, 5).Draw(t, "body") {
 	case 0:
--- a/process/membership/fuzz_test.go
+++ b/process/membership/fuzz_test.go
@@ -1,8 +1,10 @@
 package membership
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +14,7 @@
 // disturb does one random thing to the fleet.
 func (f *fleet) disturb() {
 	n := f.nodes[f.pick("node", len(f.nodes))]
-	switch f.pick("fault", 18) {
+	switch f.pick("fault", 22) {
 	case 0:
 		n.killControl()
 	case 1:
@@ -38,6 +40,16 @@
 		n.unlink()
 	case 13:
 		n.frozen = true
+	case 14, 15:
+		// A silent member whose removal can't be written gets a deputy.
+		f.down = true
+		f.isolate(n.index)
+	case 16:
+		f.down = true
+		n.paused = n.control != nil
+	case 17:
+		clear(f.cut)
+		f.down = false
 	default:
 		f.mend()
 	}
@@ -159,6 +171,36 @@
 	return l.advance(time.Second)
 }
 
+// deputised is a fixed order of faults: a silent member gets a deputy and comes back, and a new member takes over some of
+// its shards while the deputy, cut off now, still has the lease.
+func deputised(seed uint64) func(flaws) error {
+	return func(f flaws) error {
+		l := newFleet(seeded(seed), 6, 1, f)
+		joins := l.nodes[5]
+		joins.kill()
+		if err := l.advance(5 * time.Second); err != nil {
+			return err
+		}
+		l.down = true
+		l.isolate(0)
+		if err := l.advance(3 * time.Second); err != nil {
+			return err
+		}
+		i := slices.IndexFunc(l.nodes, func(n *node) bool {
+			return slices.ContainsFunc(n.view.Deputies, func(d Deputy) bool { return d.LeaseUntil > n.clock() })
+		})
+		if i < 0 {
+			return errors.New("no deputy")
+		}
+		clear(l.cut)
+		l.isolate(i)
+		l.nodes[i].blind, l.down = true, false
+		joins.startControl()
+		joins.startEntry()
+		return l.advance(2 * time.Second)
+	}
+}
+
 func (f *fleet) isolate(i int) {
 	for j := range f.nodes {
 		f.cut[[2]int{i, j}], f.cut[[2]int{j, i}] = i != j, i != j
@@ -192,6 +234,8 @@
 		{"lease counted from receipt", flaws{fromReceipt: true}, search(100, trials)},
 		{"restarted witness grants as its predecessor", flaws{anyTarget: true}, script(true)},
 		{"restarted witness has granted nothing", flaws{noFloor: true}, restarts},
+		{"a lease is granted to two holders", flaws{twoHolders: true}, search(200, trials)},
+		{"owners close tenures that deputies hold", flaws{deputyUntold: true}, deputised(1)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/process/membership/liveness_test.go
+++ b/process/membership/liveness_test.go
@@ -56,6 +56,20 @@
 		}, servedAgain},
 		{"planned stop", func(f *fleet) { f.owner(0).run(f.owner(0).control.leave) }, time.Second},
 		{"platform down", func(f *fleet) { f.down = true }, step},
+		{"platform down and VM killed", func(f *fleet) {
+			f.down = true
+			f.owner(0).kill()
+		}, servedAgain},
+		{"platform down and two VMs killed", func(f *fleet) {
+			f.down = true
+			a, b := f.owner(0), f.owner(1)
+			a.kill()
+			b.kill()
+		}, servedAgain},
+		{"platform down and VM cut off", func(f *fleet) {
+			f.down = true
+			f.isolate(f.owner(0).index)
+		}, servedAgain},
 		{"a fifth of the datagrams lost", func(f *fleet) { f.loss = 20 }, step},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -184,7 +198,7 @@
 			for _, n := range f.nodes[1:] {
 				n.version = 2
 				n.control.learn(n.clock(), 2)
-				n.control.enforce(n.view.Epoch.GetNumber(), 2)
+				n.control.enforce(n.clock(), n.view.Epoch.GetNumber(), 2)
 			}
 			must(t, f.advance(inForce))
 			for range 30 {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,15 @@
 	Newest ident.Epoch
 	// LeaseUntil is when the lease under Epoch ends on this machine's clock; zero means no lease.
 	LeaseUntil clock.Instant
+	// Deputies are the members that hold the leases of silent ones, ordered by these.
+	Deputies []Deputy
+}
+
+// Deputy is a member that holds the lease of a silent one.
+type Deputy struct {
+	Of, By ident.Member
+	// LeaseUntil is when the lease ends if this member holds it; else zero.
+	LeaseUntil clock.Instant
 }
 
 // Heard is called for each datagram with its sender and the newest configuration that the sender knows.
@@ -114,7 +124,7 @@
 	})
 }
 
-// Left tells whether this member is out of the epoch and its entry uses that epoch.
+// Left tells whether this member is out of the epoch, its entry uses that epoch, and its tenures are over.
 func (m *Membership) Left() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -123,11 +133,11 @@
 
 // InForce notes which epoch and configuration the entry process uses.
 func (m *Membership) InForce(self ident.Member, e ident.Epoch, v ident.Version) {
-	m.do(func(clock.Instant) []packet {
+	m.do(func(now clock.Instant) []packet {
 		if m.core.self.GetId() != string(self) {
 			return nil
 		}
-		return m.core.enforce(uint64(e), v)
+		return m.core.enforce(now, uint64(e), v)
 	})
 }
 
@@ -221,9 +231,11 @@
 	l := f(now)
 	s := m.core.state(now)
 	changed := !same(s, m.shown)
+	before := m.shown
 	m.shown = s
 	c := m.conn
 	m.mu.Unlock()
+	m.logDeputies(before, s)
 	if changed {
 		m.changed.Replace(struct{}{})
 	}
@@ -232,6 +244,25 @@
 	}
 }
 
+// logDeputies logs which leases of silent members this one got and let go.
+func (m *Membership) logDeputies(before, after State) {
+	for _, d := range after.Deputies {
+		if d.LeaseUntil != 0 && !before.deputises(d.Of) {
+			m.log.Warn().Str("Of", string(d.Of)).Uint64("Epoch", after.Epoch.GetNumber()).Msg("deputy of a silent member")
+		}
+	}
+	for _, d := range before.Deputies {
+		if d.LeaseUntil != 0 && !after.deputises(d.Of) {
+			m.log.Info().Str("Of", string(d.Of)).Uint64("Epoch", after.Epoch.GetNumber()).Msg("deputy no more")
+		}
+	}
+}
+
+// deputises tells whether this member holds the lease of a silent one.
+func (s *State) deputises(of ident.Member) bool {
+	return slices.ContainsFunc(s.Deputies, func(d Deputy) bool { return d.Of == of && d.LeaseUntil != 0 })
+}
+
 func (m *Membership) send(c net.PacketConn, p packet) {
 	a, err := net.ResolveUDPAddr("udp", string(p.to))
 	if err != nil || c == nil {
@@ -247,5 +278,5 @@
 
 func same(a, b State) bool {
 	return a.Self == b.Self && a.LeaseUntil == b.LeaseUntil && a.Epoch.GetNumber() == b.Epoch.GetNumber() &&
-		openCount(a.Epoch) == openCount(b.Epoch)
+		openCount(a.Epoch) == openCount(b.Epoch) && slices.Equal(a.Deputies, b.Deputies)
 }
--- a/process/membership/open.go
+++ b/process/membership/open.go
@@ -4,17 +4,17 @@
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/process/clock"
-	"github.com/amaranthramp/amaranthramp/wire"
 )
 
 // How often and from when on the open tenures of earlier epochs are asked about.
 const (
 	askPause = tick
-	// ownerTime is how long only the owner of a tenure is asked: a living one answers at once.
+	// ownerTime is how long only the owner of a tenure is asked: a living one answers at once. The witnesses of this
+	// member's own tenures are asked from the start, since the others wait for its word.
 	ownerTime = 150 * time.Millisecond
 )
 
-// askOpen asks the owners of open tenures which epoch they use, and later their witnesses too.
+// askOpen asks the owners of open tenures whether these are closed, and later their witnesses too.
 func (c *core) askOpen(now clock.Instant) []packet {
 	if c.self == nil || now.Sub(c.asked) < askPause {
 		return nil
@@ -26,8 +26,15 @@
 		if p.closed {
 			continue
 		}
-		q := &wire.Question{Subject: uint64(t.owner), Epoch: t.epoch}
-		r = append(r, c.packet(p.member, &wire.Frame{Body: &wire.Frame_Question{Question: q}}))
+		if t.owner == c.key {
+			if !p.own {
+				for _, w := range p.witnesses {
+					r = append(r, c.questionTo(w, t.owner, t.epoch))
+				}
+			}
+			continue
+		}
+		r = append(r, c.questionTo(p.member, t.owner, t.epoch))
 		if now.Sub(c.adopted) >= ownerTime {
 			r = append(r, c.questions(p.member, p.witnesses, t.epoch)...)
 		}
--- a/process/membership/proposal.go
+++ b/process/membership/proposal.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	n := proto.Clone(c.epoch).(*wire.Epoch)
-	n.Earlier = c.closing.prune(c.epoch)
+	n.Earlier = prune(c.epoch, c.closing.isClosed)
 	if members == nil {
 		return n
 	}
--- a/process/membership/receive.go
+++ b/process/membership/receive.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -13,7 +14,7 @@
 func (c *core) receive(now clock.Instant, from ident.Address, f *wire.Frame) []packet {
 	k := lease.Key(f.GetSender())
 	c.witness.Hear(now, k)
-	c.closing.inForce(k, f.GetInForce())
+	c.closing.says(k, f.GetClosed())
 	switch b := f.GetBody().(type) {
 	case *wire.Frame_Request:
 		return c.request(now, from, f, b.Request)
@@ -25,6 +26,8 @@
 		c.report(now, b.Report)
 	case *wire.Frame_Join:
 		c.join(now, b.Join)
+	case *wire.Frame_Deputy:
+		c.hearDeputy(now, f, lease.Key(b.Deputy.GetSubject()))
 	}
 	return nil
 }
@@ -35,8 +38,15 @@
 	if c.flaws.anyEpoch {
 		e = c.witness.Promised()
 	}
+	holder := lease.Key(f.GetSender())
+	subject := cmp.Or(lease.Key(q.GetSubject()), holder)
 	mine := c.mine[lease.Key(f.GetTarget())] || c.flaws.anyTarget
-	if !mine || !c.witness.Request(now, lease.Key(f.GetSender()), e, ident.Version(q.GetVersion())) {
+	// A member that is heard needs no deputy.
+	needed := subject == holder || c.silent(now, subject) >= deadAfter
+	if c.flaws.twoHolders {
+		holder = subject
+	}
+	if !mine || !needed || !c.witness.Request(now, subject, holder, e, ident.Version(q.GetVersion())) {
 		return []packet{c.reply(from, f, &wire.Frame{})}
 	}
 	g := &wire.LeaseGrant{Sequence: q.GetSequence()}
@@ -46,15 +56,19 @@
 // grant counts from the instant at which the renewal was sent, not from that of its answer.
 func (c *core) grant(now clock.Instant, f *wire.Frame, g *wire.LeaseGrant) {
 	s, ok := c.sent[g.GetSequence()]
-	if !ok || c.holder == nil || s.epoch != c.holder.Epoch || f.GetTarget() != uint64(c.key) {
+	h := c.holder
+	if d := c.deputies[s.subject]; s.subject != 0 {
+		h = d.holderOf()
+	}
+	if !ok || h == nil || s.epoch != h.Epoch || f.GetTarget() != uint64(c.key) {
 		return
 	}
 	if c.flaws.fromReceipt {
 		s.at = now
 	}
-	u := c.holder.Until()
-	c.holder.Grant(lease.Key(f.GetSender()), s.at)
-	if c.unread == 0 && c.holder.Until() > u {
+	u := h.Until()
+	h.Grant(lease.Key(f.GetSender()), s.at)
+	if c.unread == 0 && h.Until() > u {
 		c.unread = now
 	}
 	c.settle(now)
@@ -68,6 +82,14 @@
 		Past:        c.witness.Promised() > q.GetEpoch() || !c.mine[lease.Key(f.GetTarget())],
 		RemainingMs: ceilMs(c.witness.Remaining(now, k)),
 		SilentMs:    uint32(c.silent(now, k).Milliseconds()),
+		DeputyMs:    ceilMs(c.witness.DeputyRemaining(now, k)),
+	}
+	if !c.mine[lease.Key(f.GetTarget())] {
+		// What a predecessor granted to a deputy isn't known.
+		r.DeputyMs = r.RemainingMs
+	}
+	if c.flaws.deputyUntold {
+		r.DeputyMs = 0
 	}
 	if c.flaws.noFloor && !c.mine[lease.Key(f.GetTarget())] {
 		r.RemainingMs = 0
--- a/process/membership/sim_test.go
+++ b/process/membership/sim_test.go
@@ -182,7 +182,7 @@
 	n.view = s
 	n.fleet.after(n.fleet.pick("status", 3), func() {
 		if n.life == life && n.entry == entry {
-			n.run(func() { n.send(n.control.enforce(s.Epoch.GetNumber(), n.version)) })
+			n.run(func() { n.send(n.control.enforce(n.clock(), s.Epoch.GetNumber(), n.version)) })
 		}
 	})
 }
@@ -324,12 +324,19 @@
 }
 
 func (n *node) mayDispatch(s shard.Shard) bool {
-	v := &view.View{Self: n.view.Self, Epoch: n.view.Epoch, LeaseUntil: n.view.LeaseUntil}
-	if !n.up || !v.Leased(n.clock()) {
-		return false
+	v := &view.View{
+		Self: n.view.Self, Epoch: n.view.Epoch, LeaseUntil: n.view.LeaseUntil, Deputies: map[ident.Member]view.Deputy{},
+	}
+	for _, d := range n.view.Deputies {
+		for _, m := range v.Epoch.GetMembers() {
+			if m.GetId() == string(d.By) {
+				v.Deputies[d.Of] = view.Deputy{Member: m, LeaseUntil: d.LeaseUntil}
+			}
+		}
 	}
 	m, ok := shard.Owner(s.ID, s.DataCentre, v.Epoch.GetMembers())
-	return ok && m.GetId() == string(v.Self) && shard.Ready(s.ID, s.DataCentre, v)
+	return ok && n.up && v.LeaseOf(m) > n.clock() && shard.DispatcherOf(m, v).GetId() == string(v.Self) &&
+		shard.Ready(s.ID, s.DataCentre, v)
 }
 
 // served counts the shards that some entry may dispatch.
--- a/process/membership/suspects.go
+++ b/process/membership/suspects.go
@@ -149,12 +149,14 @@
 func (c *core) questions(of *wire.Member, witnesses []*wire.Member, epoch uint64) []packet {
 	var r []packet
 	for _, w := range witnesses {
-		k := lease.KeyOf(w)
-		if k == lease.KeyOf(of) {
-			continue
+		if lease.KeyOf(w) != lease.KeyOf(of) {
+			r = append(r, c.questionTo(w, lease.KeyOf(of), epoch))
 		}
-		q := &wire.Question{Subject: uint64(lease.KeyOf(of)), Epoch: epoch}
-		r = append(r, c.packet(w, &wire.Frame{Body: &wire.Frame_Question{Question: q}}))
 	}
 	return r
 }
+
+func (c *core) questionTo(witness *wire.Member, of lease.Key, epoch uint64) packet {
+	q := &wire.Question{Subject: uint64(of), Epoch: epoch}
+	return c.packet(witness, &wire.Frame{Body: &wire.Frame_Question{Question: q}})
+}
--- a/process/shard/shard.go
+++ b/process/shard/shard.go
@@ -47,6 +47,14 @@
 	return highest(id, members, "")
 }
 
+// DispatcherOf returns the member that dispatches the shards of an owner: itself, or its deputy while it is silent.
+func DispatcherOf(owner *wire.Member, v *view.View) *wire.Member {
+	if d, ok := v.Deputies[ident.Member(owner.GetId())]; ok {
+		return d.Member
+	}
+	return owner
+}
+
 // Ready reports whether no owner under an earlier epoch can still hold a valid lease for the shard.
 func Ready(id ident.Shard, d ident.DataCentre, v *view.View) bool {
 	return ReadyAfter(id, d, v, func(ident.Shard, ident.Member, ident.Epoch) bool { return false })
@@ -58,7 +66,7 @@
 ) bool {
 	for _, e := range v.Epoch.GetEarlier() {
 		m, ok := Owner(id, d, e.GetMembers())
-		if !ok || m.GetId() == string(v.Self) {
+		if !ok {
 			continue
 		}
 		for _, o := range e.GetOpen() {
--- a/process/shard/table.go
+++ b/process/shard/table.go
@@ -85,6 +85,15 @@
 	return p.shard, p.group.Service, true
 }
 
+// Dispatcher returns the member that dispatches a shard by the view that the table is of, or nil when there is none.
+func (t *Table) Dispatcher(id ident.Shard, v *view.View) *wire.Member {
+	o := t.Owner(id)
+	if o == nil {
+		return nil
+	}
+	return DispatcherOf(o, v)
+}
+
 // Owner returns the owner of a shard under the table's epoch, or nil when there is none.
 func (t *Table) Owner(id ident.Shard) *wire.Member {
 	p, ok := t.places[id]
--- a/process/witness/witness.go
+++ b/process/witness/witness.go
@@ -19,14 +19,20 @@
 	started clock.Instant
 	// promised is the newest epoch that is known; nothing is ever granted under an earlier one.
 	promised uint64
-	// granted are the instants at which the last grant was made, by holder.
-	granted map[lease.Key]clock.Instant
+	// granted are the last grants, by the member whose lease it is.
+	granted map[lease.Key]grant
 	// heard are the instants of the last datagram, by sender.
 	heard map[lease.Key]clock.Instant
 	// versions are the known configuration versions, oldest first.
 	versions []arrival
 }
 
+// grant is the last grant of a member's lease; its holder is the member itself or a deputy.
+type grant struct {
+	holder lease.Key
+	at     clock.Instant
+}
+
 // arrival is the instant at which a configuration version became known.
 type arrival struct {
 	version ident.Version
@@ -36,7 +42,7 @@
 // New returns the witness of a control process that started at the instant.
 func New(started clock.Instant) *Witness {
 	return &Witness{
-		started: started, granted: map[lease.Key]clock.Instant{}, heard: map[lease.Key]clock.Instant{},
+		started: started, granted: map[lease.Key]grant{}, heard: map[lease.Key]clock.Instant{},
 	}
 }
 
@@ -73,15 +79,23 @@
 	return now.Sub(max(w.heard[k], since))
 }
 
-// Request decides on a renewal under an epoch for an owner that has a configuration version in force.
-func (w *Witness) Request(now clock.Instant, k lease.Key, epoch uint64, v ident.Version) bool {
+// Request decides on a renewal of the subject's lease under an epoch, for a holder that has a configuration version in
+// force. While a grant to one holder may last, no other one gets the lease.
+func (w *Witness) Request(now clock.Instant, subject, holder lease.Key, epoch uint64, v ident.Version) bool {
 	if epoch != w.promised || w.outdated(now, v) {
 		return false
 	}
-	w.granted[k] = now
+	if g, ok := w.granted[subject]; ok && g.holder != holder && g.remaining(now) > 0 {
+		return false
+	}
+	w.granted[subject] = grant{holder: holder, at: now}
 	return true
 }
 
+func (g grant) remaining(now clock.Instant) time.Duration {
+	return max(0, g.at.Add(lease.Widen(lease.Term)).Sub(now))
+}
+
 // outdated tells whether a newer version than v has been known for longer than the grace.
 func (w *Witness) outdated(now clock.Instant, v ident.Version) bool {
 	for _, a := range w.versions {
@@ -94,8 +108,15 @@
 
 // Remaining returns how long a lease that was granted to a member by this process or a predecessor can still last.
 func (w *Witness) Remaining(now clock.Instant, k lease.Key) time.Duration {
-	last := max(w.granted[k], w.started)
-	return max(0, last.Add(lease.Widen(lease.Term)).Sub(now))
+	return grant{at: max(w.granted[k].at, w.started)}.remaining(now)
+}
+
+// DeputyRemaining returns how long a member's lease that this process granted to a deputy can still last.
+func (w *Witness) DeputyRemaining(now clock.Instant, k lease.Key) time.Duration {
+	if g, ok := w.granted[k]; ok && g.holder != k {
+		return g.remaining(now)
+	}
+	return 0
 }
 
 // Forget drops what has no effect any more: grants that ran out and senders that are not heard.
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -91,7 +91,7 @@
 }
 
 func (f *Forwarder) send(ctx context.Context, v *view.View, h *shard.Shard, c *call.Call) call.Answer {
-	m := f.tables.Of(v).Owner(h.ID)
+	m := f.tables.Of(v).Dispatcher(h.ID, v)
 	if m == nil {
 		return call.NotRun(outcome.NotOwner)
 	}
