Push the store's news in compressed datagrams instead of having each member fetch them

A reader now packs the news of a kind (compressed), and sends the pieces to all members before its digest; who lost one, or is further behind, fetches as before. Listings are packed once for all members. TestPieces, TestPack, TestNewsPushed.

--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/wire"
 )
 
@@ -23,7 +23,11 @@
 	for {
 		c := f.catalog.Changed()
 		if reading, confirmed := f.follower.Reading(); reading && confirmed != 0 {
-			f.send()
+			if f.unsent() && !f.first() {
+				clock.Sleep(ctx, pushTurn)
+			}
+			f.push(ctx)
+			f.send(ctx, nil, 0)
 		}
 		select {
 		case <-ctx.Done():
@@ -34,11 +38,40 @@
 	}
 }
 
-func (f *Fleet) send() {
+// unsent tells whether there are news that no reader has sent.
+func (f *Fleet) unsent() bool {
+	changed, _ := f.catalog.Revisions()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k := range catalog.Kinds {
+		if changed[k] > f.pusher.sent[k] {
+			return true
+		}
+	}
+	return false
+}
+
+// first tells whether this VM is the first of the readers that are heard.
+func (f *Fleet) first() bool {
+	now := f.clock.Now()
+	members := f.catalog.Get().Members
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	mine := rank(members, f.self.Name)
+	for v, h := range f.heard {
+		if now.Sub(h.at) < heardFor && rank(members, v) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+// send sends a digest, with a piece of news or without; before is how many datagrams were sent just now.
+func (f *Fleet) send(ctx context.Context, p *wire.Piece, before int) {
 	changed, asOf := f.catalog.Revisions()
 	_, confirmed := f.follower.Reading()
 	d := &wire.Digest{
-		Member: string(f.self.Name), AgeMs: uint32(min(f.clock.Now().Sub(confirmed).Milliseconds(), 1<<31)),
+		Member: string(f.self.Name), AgeMs: uint32(min(f.clock.Now().Sub(confirmed).Milliseconds(), 1<<31)), Piece: p,
 	}
 	for k := range catalog.Kinds {
 		d.Changed = append(d.Changed, uint64(changed[k]))
@@ -49,22 +82,13 @@
 		f.log.Error().Err(err).Msg("digest not encoded")
 		return
 	}
-	for _, m := range f.catalog.Get().Members {
-		if m.Name == f.self.Name {
-			continue
-		}
-		a, err := netip.ParseAddrPort(string(m.Address))
-		if err != nil {
-			continue
-		}
-		// A datagram that can't be sent is one that is lost; the next one follows soon.
-		_, _ = f.conn.WriteToUDPAddrPort(b, a)
-	}
+	f.sendAll(ctx, b, before)
 }
 
 // receive takes digests until the socket is closed.
 func (f *Fleet) receive(u *net.UDPConn) {
 	b := make([]byte, maxDigest)
+	s := &assemblies{}
 	for {
 		n, from, err := u.ReadFromUDPAddrPort(b)
 		if err != nil {
@@ -76,21 +100,39 @@
 			f.log.Warn().Str("From", from.String()).Msg("datagram is no digest")
 			continue
 		}
+		if d.GetPiece() != nil {
+			f.takePiece(s, d.GetPiece(), ident.Address(from.String()))
+			continue
+		}
 		f.take(d, ident.Address(from.String()))
 	}
 }
 
+// takePiece takes news once their last piece is there, if they follow what is known.
+func (f *Fleet) takePiece(s *assemblies, p *wire.Piece, from ident.Address) {
+	if p.GetKind() >= uint32(catalog.Kinds) {
+		return
+	}
+	_, asOf := f.catalog.Revisions()
+	known := asOf[p.GetKind()]
+	b := s.put(from, p)
+	if b == nil || known < ident.Revision(p.GetFrom()) || known >= ident.Revision(p.GetAsOf()) {
+		return
+	}
+	if err := f.adopt(b); err != nil {
+		f.log.Warn().Str("From", string(from)).Err(err).Msg("news not taken")
+	}
+}
+
 // take notes what a reader knows, and whether there is something to fetch from it.
 func (f *Fleet) take(d *wire.Digest, from ident.Address) {
 	now := f.clock.Now()
 	confirmed := now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)
-	_, asOf := f.catalog.Revisions()
-	behind := false
+	o := offer{from: from}
 	for k := range catalog.Kinds {
-		if ident.Revision(d.GetChanged()[k]) > asOf[k] {
-			behind = true
-		}
+		o.changed[k] = ident.Revision(d.GetChanged()[k])
 	}
+	behind := f.behind(&o.changed)
 	if !behind {
 		for k := range catalog.Kinds {
 			f.catalog.Unchanged(k, ident.Revision(d.GetAsOf()[k]))
@@ -98,11 +140,12 @@
 	}
 	f.mu.Lock()
 	f.heard[ident.VM(d.GetMember())] = heard{at: now, confirmed: confirmed}
+	f.pushed(&o.changed)
 	if !behind {
 		f.confirmed = max(f.confirmed, confirmed)
 	}
 	f.mu.Unlock()
 	if behind {
-		f.fetch.Offer(from)
+		f.fetch.Offer(o)
 	}
 }
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -72,14 +73,18 @@
 	clock    clock.Clock
 	log      zerolog.Logger
 
-	// encoded is the news that was last encoded; many members ask for the same.
-	encoded encodedNews
+	// fetched counts the news that were fetched.
+	fetched atomic.Uint64
+	// packed holds listings that many members ask for.
+	packed packed
 	// fetch holds the readers that have news.
-	fetch *ring.Ring[ident.Address]
+	fetch *ring.Ring[offer]
 
 	mu    sync.Mutex
 	conn  *net.UDPConn
 	heard map[ident.VM]heard
+	// pusher is up to where the members were sent the news.
+	pusher pusher
 	// confirmed is when the store last confirmed what this VM knows, directly or through a reader.
 	confirmed clock.Instant
 	// short is since when fewer readers were heard than there should be; zero while there are enough.
@@ -95,7 +100,7 @@
 	l zerolog.Logger,
 ) *Fleet {
 	return &Fleet{
-		self: m, cold: b, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[ident.Address](4),
+		self: m, cold: b, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[offer](4),
 		heard: map[ident.VM]heard{},
 	}
 }
@@ -130,6 +135,11 @@
 	return max(len(f.catalog.Get().Members), 1)
 }
 
+// Fetched returns how often this VM fetched news from a reader, as it had lost a datagram or had just started.
+func (f *Fleet) Fetched() uint64 {
+	return f.fetched.Load()
+}
+
 // Sponsors returns how many members share the starts at a cold target that bears the rate, or zero when this VM isn't
 // one of them.
 func (f *Fleet) Sponsors(t ident.Target, rate float64) int {
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// TestNewsPushed checks that a change arrives at many members without a connection for each, and that few are sent twice.
+func TestNewsPushed(t *testing.T) {
+	const size = 30
+	b := newBed(t, size)
+	b.settle(t)
+	until(t, 5*time.Second, "all members known to all", func() bool {
+		for _, n := range b.nodes {
+			if n.fleet.Members() != size {
+				return false
+			}
+		}
+		return b.readers() == 2
+	})
+	fetched := b.fetched()
+	b.store.Put("evacuations", "zone-a", `{}`)
+	b.change()
+	until(t, inForceWithin, "change and evacuation", func() bool { return b.inForce(2) && b.out("zone-a") })
+	time.Sleep(time.Second)
+	if n := b.fetched() - fetched; n > size/10 {
+		t.Errorf("%d of %d members fetched the news", n, size)
+	}
+}
+
+// fetched counts the news that all nodes have fetched.
+func (b *bed) fetched() uint64 {
+	var r uint64
+	for _, n := range b.nodes {
+		r += n.fleet.Fetched()
+	}
+	return r
+}
+
 // TestReaderDies checks that a change comes into force in time although both readers have just died.
 func TestReaderDies(t *testing.T) {
 	b := newBed(t, 6)
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -25,6 +24,9 @@
 // newsTimeout bounds one call: a reader that takes longer is passed over for the next that sends a digest.
 const newsTimeout = time.Second
 
+// pushWait is how long news that were told may take to arrive as datagrams before they are fetched.
+const pushWait = 40 * time.Millisecond
+
 // spreadPerMember is the span, for each member, over which the fetches after one digest are spread.
 const spreadPerMember = 3 * time.Millisecond
 
@@ -48,64 +50,66 @@
 	if err := protojson.Unmarshal(*r.Params, q); err != nil || len(q.GetAsOf()) != int(catalog.Kinds) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revisions are missing"}
 	}
-	return f.encode(q)
-}
-
-// encodedNews is the answer to one question at one state of the catalog.
-type encodedNews struct {
-	mu   sync.Mutex
-	key  string
-	news json.RawMessage
-}
-
-// encode returns the news since the revisions, encoded once for all that ask the same before the next change.
-func (f *Fleet) encode(q *wire.Since) (json.RawMessage, error) {
-	changed, _ := f.catalog.Revisions()
-	e := &f.encoded
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if k := fmt.Sprint(q.GetAsOf(), changed); k != e.key || f.catalog.Keep() > 0 {
-		b, err := protojson.Marshal(f.news(q))
-		if err != nil {
-			return nil, fmt.Errorf("encode news: %w", err)
-		}
-		e.key, e.news = k, b
+	n, err := f.news(q)
+	if err != nil {
+		return nil, err
 	}
-	return e.news, nil
+	b, err := protojson.Marshal(n)
+	if err != nil {
+		return nil, fmt.Errorf("encode news: %w", err)
+	}
+	return json.RawMessage(b), nil
 }
 
 // news collects what has changed since the revisions that another member has.
-func (f *Fleet) news(q *wire.Since) *wire.News {
-	a := &wire.News{KeepMs: uint32(f.catalog.Keep().Milliseconds())}
+func (f *Fleet) news(q *wire.Since) (*wire.News, error) {
+	a := &wire.News{}
 	changed, _ := f.catalog.Revisions()
 	for k := range catalog.Kinds {
 		since := ident.Revision(q.GetAsOf()[k])
 		if since >= changed[k] && since != 0 {
 			continue
 		}
-		n := f.catalog.Since(k, since)
-		m := &wire.KindNews{Kind: uint32(k), Whole: n.Whole, AsOf: uint64(n.AsOf)}
-		for _, c := range n.Changes {
-			m.Records = append(m.Records, &wire.RecordNews{
-				Name: c.Name, Revision: uint64(c.Revision), Deleted: c.Deleted, Raw: c.Raw,
-			})
+		b, err := f.packed.of(f.catalog, k, since)
+		if err != nil {
+			return nil, err
 		}
-		a.Kinds = append(a.Kinds, m)
+		a.Packed = append(a.Packed, b)
 	}
-	return a
+	return a, nil
+}
+
+// offer is a reader that has news, and its revisions of the last change of each kind.
+type offer struct {
+	from    ident.Address
+	changed [catalog.Kinds]ident.Revision
 }
 
-// fetchNews fetches from the readers that have news, over one connection kept for each.
+// behind tells whether a change is not known here.
+func (f *Fleet) behind(changed *[catalog.Kinds]ident.Revision) bool {
+	_, asOf := f.catalog.Revisions()
+	for k := range catalog.Kinds {
+		if changed[k] > asOf[k] {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchNews fetches from the readers that have news which did not arrive as datagrams, over one connection kept for each.
 func (f *Fleet) fetchNews(ctx context.Context) {
 	conns := map[ident.Address]*jsonrpc2.Conn{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case a := <-f.fetch.Out():
-			clock.Sleep(ctx, rand.N(time.Duration(f.Members())*spreadPerMember+1))
-			if err := f.fetchFrom(ctx, conns, a); err != nil {
-				f.log.Warn().Str("From", string(a)).Err(err).Msg("news not fetched")
+		case o := <-f.fetch.Out():
+			clock.Sleep(ctx, pushWait+rand.N(time.Duration(f.Members())*spreadPerMember+1))
+			if !f.behind(&o.changed) {
+				continue
+			}
+			if err := f.fetchFrom(ctx, conns, o.from); err != nil {
+				f.log.Warn().Str("From", string(o.from)).Err(err).Msg("news not fetched")
 			}
 		}
 	}
@@ -142,7 +146,12 @@
 	if err := protojson.Unmarshal(b, w); err != nil {
 		return fmt.Errorf("decode news: %w", err)
 	}
-	f.adopt(w)
+	f.fetched.Add(1)
+	for _, b := range w.GetPacked() {
+		if err := f.adopt(b); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -151,30 +160,3 @@
 	_ = c.Close()
 	return err
 }
-
-// adopt takes the news of a reader into the catalog.
-func (f *Fleet) adopt(w *wire.News) {
-	if w.GetKeepMs() > 0 {
-		f.catalog.Regained(time.Duration(w.GetKeepMs()) * time.Millisecond)
-	}
-	for _, m := range w.GetKinds() {
-		if m.GetKind() >= uint32(catalog.Kinds) {
-			continue
-		}
-		k := catalog.Kind(m.GetKind())
-		n := catalog.News{Whole: m.GetWhole(), AsOf: ident.Revision(m.GetAsOf())}
-		for _, r := range m.GetRecords() {
-			n.Changes = append(n.Changes, f.change(k, r))
-		}
-		f.catalog.Take(k, n)
-	}
-}
-
-func (f *Fleet) change(k catalog.Kind, r *wire.RecordNews) catalog.Change {
-	c, err := f.source.Decode(k, r.GetRaw())
-	if err != nil {
-		c = catalog.Record{Entry: catalog.Unreadable{Err: err}}
-	}
-	c.Name, c.Revision = r.GetName(), ident.Revision(r.GetRevision())
-	return catalog.Change{Record: c, Deleted: r.GetDeleted()}
-}
--- /dev/null
+++ b/process/fleet/push_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/wire"
+)
+
+// TestPieces loses, doubles and mixes the datagrams of two readers, and checks that news are whole or not taken at all.
+func TestPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type datagram struct {
+			reader ident.Address
+			piece  *wire.Piece
+		}
+		var l []datagram
+		sent := map[ident.Address][]byte{}
+		for _, r := range []ident.Address{"a", "b"} {
+			sent[r] = rapid.SliceOfN(rapid.Byte(), 1, 6*pieceSize).Draw(t, "news")
+			for _, p := range split(sent[r], &wire.Piece{Kind: 1, From: 3, AsOf: 5}) {
+				for range rapid.IntRange(0, 2).Draw(t, "copies") {
+					l = append(l, datagram{r, p})
+				}
+			}
+		}
+		s := &assemblies{}
+		for _, d := range rapid.Permutation(l).Draw(t, "order") {
+			if b := s.put(d.reader, d.piece); b != nil && !bytes.Equal(b, sent[d.reader]) {
+				t.Fatalf("%d bytes of news became %d", len(sent[d.reader]), len(b))
+			}
+		}
+	})
+}
+
+// TestPiecesHostile checks that pieces which make no sense are passed over.
+func TestPiecesHostile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &assemblies{}
+		n := rapid.Uint32Range(0, 2*maxPieces)
+		for range 20 {
+			b := s.put("a", &wire.Piece{
+				Kind: rapid.Uint32Range(0, 9).Draw(t, "kind"), Index: n.Draw(t, "index"), Count: n.Draw(t, "count"),
+			})
+			if len(b) > 0 {
+				t.Fatalf("%d bytes of empty pieces", len(b))
+			}
+		}
+	})
+}
+
+// TestPack checks that news arrive as they were sent.
+func TestPack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := catalog.News{Whole: rapid.Bool().Draw(t, "whole"), AsOf: 7}
+		for range rapid.IntRange(0, 20).Draw(t, "changes") {
+			n.Changes = append(n.Changes, catalog.Change{
+				Record: catalog.Record{
+					Name: rapid.String().Draw(t, "name"), Revision: 6, Raw: rapid.SliceOf(rapid.Byte()).Draw(t, "raw"),
+				},
+				Deleted: rapid.Bool().Draw(t, "deleted"),
+			})
+		}
+		b, err := pack(catalog.Targets, n, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := unpack(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.GetWhole() != n.Whole || m.GetAsOf() != 7 || m.GetKeepMs() != 1000 || len(m.GetRecords()) != len(n.Changes) {
+			t.Fatalf("%v became %v", n, m)
+		}
+		for i, r := range m.GetRecords() {
+			c := n.Changes[i]
+			if r.GetName() != c.Name || !bytes.Equal(r.GetRaw(), c.Raw) || r.GetDeleted() != c.Deleted {
+				t.Fatalf("%v became %v", c, r)
+			}
+		}
+	})
+}
