Start a large fleet with few readers, and confirm what members know in time

Readers' pulses came 1.2 s apart after a change (0.4 s in which changes gather, 0.8 s of wait), as long as members wait: they are 0.8 s apart now. A digest holds a checksum of each kind's records, so that a member with the same records lacks nothing, whatever its revision. A VM that begins to read sends only after its first watches have told it the members; these are sent first, and pieces of news show that there is a reader. Weak VMs wait longer at the first start, and pushes leave half of the link to requests. Before the first confirmation no reader counts as missing.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -37,8 +39,10 @@
 	table   *route.Table
 	records [Kinds]map[string]Record
 	asOf    [Kinds]ident.Revision
-	// changed is the revision of the last change of each kind, and history what changed before.
+	// changed is the revision of the last change of each kind, sums stand for its records, and history is what changed
+	// before.
 	changed [Kinds]ident.Revision
+	sums    [Kinds]uint64
 	history [Kinds]history
 	// absent are targets that were missing right after an outage of the store, and until when they are kept.
 	absent map[string]clock.Instant
@@ -108,8 +112,8 @@
 		g.changed[k] = asOf
 		g.history[k].reset(asOf)
 	}
-	g.records[k], g.asOf[k] = n, asOf
-	g.publish()
+	g.asOf[k] = asOf
+	g.set(k, n)
 }
 
 func sameRevisions(a, b map[string]Record) bool {
@@ -141,9 +145,9 @@
 			g.gone(k, r)
 		}
 	}
-	g.records[k], g.asOf[k], g.changed[k] = n, b.AsOf, b.AsOf
+	g.asOf[k], g.changed[k] = b.AsOf, b.AsOf
 	g.history[k].add(b)
-	g.publish()
+	g.set(k, n)
 }
 
 // Sweep drops the targets that have not come back after an outage.
@@ -166,9 +170,18 @@
 		}
 	}
 	if dropped {
-		g.records[Targets] = n
-		g.publish()
+		g.set(Targets, n)
+	}
+}
+
+// set replaces the records of a kind.
+func (g *Catalog) set(k Kind, n map[string]Record) {
+	g.records[k] = n
+	g.sums[k] = 0
+	for name, r := range n {
+		g.sums[k] ^= xxhash.Sum64String(name + "@" + strconv.FormatUint(uint64(r.Revision), 10))
 	}
+	g.publish()
 }
 
 // keep holds on to a target that is missing right after an outage.
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -170,11 +170,8 @@
 func (f *Follower) watch(ctx context.Context, k Kind, since ident.Revision) ident.Revision {
 	wait := quietWait
 	for ctx.Err() == nil {
-		if _, confirmed := f.Reading(); k == Configurations {
-			wait = pulseWait
-			if f.clock.Now().Sub(confirmed) > pulseWait+watchSlack {
-				wait = firstWait
-			}
+		if k == Configurations {
+			wait = f.pulse()
 		}
 		b, err := f.next(ctx, k, since, wait)
 		if errors.Is(err, errRestart) {
@@ -201,6 +198,13 @@
 	return since
 }
 
+// pulse returns how long the watch that shows whether the store answers may wait: its answers come pulseWait apart, also
+// when changes gathered in between, so that the members know in time that the store has confirmed what they know.
+func (f *Follower) pulse() time.Duration {
+	_, confirmed := f.Reading()
+	return max(pulseWait-f.clock.Now().Sub(confirmed), firstWait)
+}
+
 // errRestart means that a watch was ended by this process.
 var errRestart = errors.New("catalog: watch ended to be asked for again")
 
--- a/process/catalog/model_test.go
+++ b/process/catalog/model_test.go
@@ -301,6 +301,29 @@
 	until(t, func() bool { return f.answers() && g.Get().Roster.Size() == 1 })
 }
 
+// TestPulse checks that the store confirms what is known often enough, also after a change whose batch was waited for.
+func TestPulse(t *testing.T) {
+	c := clock.NewFake()
+	f := NewFollower(New(c, zerolog.Nop()), newModel(), c, zerolog.Nop())
+	rows := []struct {
+		name        string
+		since, wait time.Duration
+	}{
+		{"just confirmed", 0, pulseWait},
+		{"after a batch", batchPause, pulseWait - batchPause},
+		{"overdue", 2 * pulseWait, firstWait},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			f.report(t.Context(), Configurations, nil)
+			c.Advance(r.since)
+			if got := f.pulse(); got != r.wait {
+				t.Errorf("waits %s, want %s", got, r.wait)
+			}
+		})
+	}
+}
+
 func until(t *testing.T, done func() bool) {
 	t.Helper()
 	for range 600 {
--- /dev/null
+++ b/process/catalog/told_test.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+// TestTold lets a member that lags hear what a reader says, and checks that it counts as up to date exactly when it has
+// the same records or the reader's last change.
+func TestTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clock.NewFake()
+		reader, member := New(c, zerolog.Nop()), New(c, zerolog.Nop())
+		reader.Replace(Targets, nil, 1)
+		member.Replace(Targets, nil, 1)
+		last := ident.Revision(1)
+		for r := ident.Revision(2); r < 12; r++ {
+			o := Record{Name: fmt.Sprint("t-", rapid.IntRange(0, 2).Draw(t, "name")), Revision: r}
+			b := Batch{Changes: []Change{{Record: o, Deleted: rapid.Bool().Draw(t, "deleted")}}, AsOf: r}
+			switch rapid.IntRange(0, 2).Draw(t, "who") {
+			case 0:
+				reader.Apply(Targets, b)
+				member.Apply(Targets, b)
+				last = r
+			case 1:
+				reader.Apply(Targets, b)
+				last = r
+			}
+		}
+		_, before := member.Revisions()
+		same := sameRevisions(reader.records[Targets], member.records[Targets])
+		member.Told(Targets, last, reader.Sums()[Targets], last+5)
+		_, after := member.Revisions()
+		want := before[Targets]
+		if same || want >= last {
+			want = last + 5
+		}
+		if after[Targets] != want {
+			t.Fatalf("known as of %d, want %d (same records: %t, last change %d)", after[Targets], want, same, last)
+		}
+	})
+}
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -20,9 +20,16 @@
 func (f *Fleet) announce(ctx context.Context) {
 	t := time.NewTicker(digestEvery)
 	defer t.Stop()
+	began := false
 	for {
 		c := f.catalog.Changed()
-		if reading, confirmed := f.follower.Reading(); reading && confirmed != 0 {
+		reading, confirmed := f.follower.Reading()
+		reading = reading && confirmed != 0
+		if reading && !began {
+			clock.Sleep(ctx, firstPush)
+		}
+		began = reading
+		if reading {
 			if f.unsent() && !f.first() {
 				clock.Sleep(ctx, pushTurn)
 			}
@@ -73,7 +80,9 @@
 	d := &wire.Digest{
 		Member: string(f.self.Name), AgeMs: uint32(min(f.clock.Now().Sub(confirmed).Milliseconds(), 1<<31)), Piece: p,
 	}
+	sums := f.catalog.Sums()
 	for k := range catalog.Kinds {
+		d.Sums = append(d.Sums, sums[k])
 		d.Changed = append(d.Changed, uint64(changed[k]))
 		d.AsOf = append(d.AsOf, uint64(asOf[k]))
 	}
@@ -96,11 +105,12 @@
 		}
 		d := &wire.Digest{}
 		if err := proto.Unmarshal(b[:n], d); err != nil || len(d.GetChanged()) != int(catalog.Kinds) ||
-			len(d.GetAsOf()) != int(catalog.Kinds) {
+			len(d.GetAsOf()) != int(catalog.Kinds) || len(d.GetSums()) != int(catalog.Kinds) {
 			f.log.Warn().Str("From", from.String()).Msg("datagram is no digest")
 			continue
 		}
 		if d.GetPiece() != nil {
+			f.hear(d)
 			f.takePiece(s, d.GetPiece(), ident.Address(from.String()))
 			continue
 		}
@@ -124,22 +134,26 @@
 	}
 }
 
-// take notes what a reader knows, and whether there is something to fetch from it.
-func (f *Fleet) take(d *wire.Digest, from ident.Address) {
+// hear notes that there is a reader, and returns when the store last confirmed to it what it tells.
+func (f *Fleet) hear(d *wire.Digest) clock.Instant {
 	now := f.clock.Now()
 	confirmed := now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard[ident.VM(d.GetMember())] = heard{at: now, confirmed: confirmed}
+	return confirmed
+}
+
+// take notes what a reader knows, and whether there is something to fetch from it.
+func (f *Fleet) take(d *wire.Digest, from ident.Address) {
+	confirmed := f.hear(d)
 	o := offer{from: from}
 	for k := range catalog.Kinds {
 		o.changed[k] = ident.Revision(d.GetChanged()[k])
+		f.catalog.Told(k, o.changed[k], d.GetSums()[k], ident.Revision(d.GetAsOf()[k]))
 	}
 	behind := f.behind(&o.changed)
-	if !behind {
-		for k := range catalog.Kinds {
-			f.catalog.Unchanged(k, ident.Revision(d.GetAsOf()[k]))
-		}
-	}
 	f.mu.Lock()
-	f.heard[ident.VM(d.GetMember())] = heard{at: now, confirmed: confirmed}
 	f.pushed(&o.changed)
 	if !behind {
 		f.confirmed = max(f.confirmed, confirmed)
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -43,6 +43,9 @@
 	firstTurns = 3 * time.Second
 	// firstPause comes before the first of these turns: time to register, so that a reader knows whom to tell.
 	firstPause = 500 * time.Millisecond
+	// weakPause is what the weakest members wait longer, and half of it for each class above: telling all others what
+	// the store holds takes a small link seconds.
+	weakPause = 1500 * time.Millisecond
 	// startGrace is how long a member that starts again waits for a reader instead of staleAfter: it isn't ready yet, and
 	// all may have started at once. firstGrace is the same for a fleet that starts for the first time, 8 s before callers
 	// come.
@@ -66,6 +69,7 @@
 // Fleet is this VM's part in reading the store; it is safe for concurrent use.
 type Fleet struct {
 	self     roster.Member
+	linkMbps float64
 	cold     ColdBound
 	catalog  *catalog.Catalog
 	follower *catalog.Follower
@@ -95,12 +99,12 @@
 	known bool
 }
 
-// New returns the part of a member in a fleet.
-func New(m roster.Member, b ColdBound, g *catalog.Catalog, f *catalog.Follower, s catalog.Source, c clock.Clock,
+// New returns the part of a member in a fleet; linkMbps is the rate of its network, zero without a limit.
+func New(m roster.Member, linkMbps float64, b ColdBound, g *catalog.Catalog, f *catalog.Follower, s catalog.Source, c clock.Clock,
 	l zerolog.Logger,
 ) *Fleet {
 	return &Fleet{
-		self: m, cold: b, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[offer](4),
+		self: m, linkMbps: linkMbps, cold: b, catalog: g, follower: f, source: s, clock: c, log: l, fetch: ring.New[offer](4),
 		heard: map[ident.VM]heard{},
 	}
 }
@@ -208,13 +212,6 @@
 	if r < min(readers, len(members)) && (f.known || confirmed != 0) {
 		return "one of the first members"
 	}
-	if ahead < readers {
-		if f.short == 0 {
-			f.short = now
-		}
-	} else {
-		f.short = 0
-	}
 	turn := time.Duration(float64(turns) * float64(r) / float64(n))
 	grace := firstGrace
 	if f.known {
@@ -223,13 +220,19 @@
 	if confirmed == 0 && now.Sub(started) < grace {
 		if r >= len(members) || !f.known {
 			// Nobody has registered yet, so the order is by the hash alone.
-			turn = firstPause + time.Duration(float64(firstTurns)*float64(hash(string(f.self.Name))>>32)/(1<<32))
+			turn = firstPause + weakPause>>f.self.Capacity +
+				time.Duration(float64(firstTurns)*float64(hash(string(f.self.Name))>>32)/(1<<32))
 		}
 		if now.Sub(started) >= knownTurn+turn && ahead == 0 {
 			return "no reader heard since the start"
 		}
 		return ""
 	}
+	if ahead >= readers {
+		f.short = 0
+	} else if f.short == 0 {
+		f.short = now
+	}
 	switch newest, ok := f.newestHeard(now); {
 	case !ok:
 	case now.Sub(newest) < staleAfter:
--- a/process/fleet/push.go
+++ b/process/fleet/push.go
@@ -18,11 +18,19 @@
 	maxPieces = 64
 	// maxHeld bounds the news that are being put together.
 	maxHeld = 8
+	// firstPush is how long a VM that begins to read waits before it sends, so that it knows all members: the answers to
+	// its first watches take a few milliseconds.
+	firstPush = 100 * time.Millisecond
 	// pushTurn is how long a reader that is not the first waits for another one to send the same news.
 	pushTurn = 60 * time.Millisecond
-	// burst is how many datagrams are sent at once, and burstPause the pause after them: 150 Mbit/s.
-	burst      = 32
-	burstPause = 2 * time.Millisecond
+	// burst is how many datagrams are sent at once; the pause after them leaves half of the link to requests.
+	burst     = 32
+	burstBits = burst * (pieceSize + headerSize) * 8
+	linkShare = 0.5
+	// headerSize is what the headers and the digest add to a piece, in bytes.
+	headerSize = 200
+	// longestPush is how long the news of a kind may take to send; members fetch longer ones side by side.
+	longestPush = 500 * time.Millisecond
 )
 
 // pusher remembers up to which revision of each kind the members were sent the news, by this VM or by another reader.
@@ -33,7 +41,8 @@
 // push sends the news of each kind to all members, in datagrams; those who lose one fetch the news.
 func (f *Fleet) push(ctx context.Context) {
 	changed, _ := f.catalog.Revisions()
-	for k := range catalog.Kinds {
+	// Members come first: a fleet that has just started hears of its readers by them.
+	for _, k := range []catalog.Kind{catalog.Members, catalog.Configurations, catalog.Evacuations, catalog.Targets} {
 		f.mu.Lock()
 		from := f.pusher.sent[k]
 		f.pusher.sent[k] = max(from, changed[k])
@@ -47,7 +56,7 @@
 			continue
 		}
 		l := split(b, &wire.Piece{Kind: uint32(k), From: uint64(from), AsOf: uint64(changed[k])})
-		if len(l) > maxPieces {
+		if bursts := len(l) * f.Members() / burst; len(l) > maxPieces || time.Duration(bursts)*f.burstPause() > longestPush {
 			continue
 		}
 		for i, p := range l {
@@ -76,6 +85,14 @@
 	}
 }
 
+// burstPause is the pause after a burst of datagrams.
+func (f *Fleet) burstPause() time.Duration {
+	if f.linkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(burstBits / (linkShare * f.linkMbps) * float64(time.Microsecond))
+}
+
 // sendAll writes one datagram to all other members, with pauses; before is how many were sent just now.
 func (f *Fleet) sendAll(ctx context.Context, b []byte, before int) {
 	for i, m := range f.catalog.Get().Members {
@@ -90,7 +107,7 @@
 		// A datagram that can't be sent is one that is lost; the next one follows soon.
 		_, _ = f.conn.WriteToUDPAddrPort(b, a)
 		if (before+i)%burst == burst-1 {
-			clock.Sleep(ctx, burstPause)
+			clock.Sleep(ctx, f.burstPause())
 		}
 	}
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -67,7 +67,7 @@
 	set := upstream.NewSet(c, l, h, pool.DialTCP)
 	r := catalog.NewFollower(g, src, c, l)
 	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
-	f := fleet.New(m, fleet.ColdBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}, g, r, src, c, l)
+	f := fleet.New(m, s.LinkMbps, fleet.ColdBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}, g, r, src, c, l)
 	w := warmup.New(c, f.Sponsors)
 	b := retry.NewWindow(c, s.Retry.Share, func() float64 { return s.Retry.Slack / float64(f.Members()) }, s.Retry.Window)
 	y := &Gateway{
