--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -123,6 +123,11 @@
 	return u.last
 }
 
+// Trusted reports whether the target is believed to answer.
+func (u *Upstream) Trusted() bool {
+	return u.Trust() == trusted
+}
+
 // Trust names the state of trust.
 func (u *Upstream) Trust() string {
 	u.mu.Lock()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -63,6 +63,8 @@
 // New returns a gateway that reads the source; dropped counts the log lines that were dropped.
 func New(s *Settings, src catalog.Source, h *exchange.Headers, c clock.Clock, l zerolog.Logger, dropped func() uint64,
 ) *Gateway {
+	registry := prometheus.NewRegistry()
+	src = newCountedSource(src, registry)
 	g := catalog.New(c, l)
 	set := upstream.NewSet(c, l, h, pool.DialTCP)
 	r := catalog.NewFollower(g, src, c, l)
@@ -73,7 +75,7 @@
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, set: set,
 		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
-		registry: prometheus.NewRegistry(), headers: h, dropped: dropped,
+		registry: registry, headers: h, dropped: dropped,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
 	y.metrics = newMetrics(y.registry, y)
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -284,10 +284,17 @@
 	if _, _, err := b.ask(context.Background(), "GET", "/read/1", "o", ""); err != nil {
 		t.Fatal(err)
 	}
-	for path, want := range map[string]string{
-		"/metrics": `amaranthramp_gateway_requests_total{outcome="done",reason="",route="read"} 1`,
-		"/dump":    `"Trust":"Trusted"`,
+	for _, r := range []struct{ path, want string }{
+		{"/metrics", `amaranthramp_gateway_requests_total{outcome="done",reason="",route="read"} 1`},
+		{"/metrics", `amaranthramp_gateway_store_calls_total{call="register",kind="members",result="ok"} 1`},
+		{"/metrics", `amaranthramp_gateway_store_calls_total{call="list-stale",kind="targets",result="ok"} 1`},
+		{"/metrics", "amaranthramp_gateway_members 1"},
+		{"/metrics", "amaranthramp_gateway_reads_store 1"},
+		{"/metrics", "amaranthramp_gateway_store_age_seconds 0."},
+		{"/metrics", "amaranthramp_gateway_targets_ejected 0"},
+		{"/dump", `"Trust":"Trusted"`},
 	} {
+		path, want := r.path, r.want
 		p, err := http.Get("http://" + string(b.s.OperatorAddress) + path)
 		if err != nil {
 			t.Fatal(err)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -31,6 +31,18 @@
 		return 0
 	})
 	gauge("targets", "Registered targets.", func() float64 { return float64(g.catalog.Get().Roster.Size()) })
+	gauge("targets_ejected", "Targets that are not trusted.", func() float64 { return float64(g.ejected()) })
+	gauge("members", "VMs of the fleet, as far as is known.", func() float64 { return float64(g.fleet.Members()) })
+	gauge("store_age_seconds", "Time since the store last confirmed what is known; -1 if it never did.", g.storeAge)
+	gauge("reads_store", "Whether this VM reads the store for the others.", func() float64 {
+		if reading, _ := g.follower.Reading(); reading {
+			return 1
+		}
+		return 0
+	})
+	f.NewCounterFunc(prometheus.CounterOpts{
+		Name: "amaranthramp_gateway_news_fetched_total", Help: "News that were fetched from a reader of the store.",
+	}, func() float64 { return float64(g.fleet.Fetched()) })
 	f.NewCounterFunc(prometheus.CounterOpts{
 		Name: "amaranthramp_gateway_log_lines_dropped_total", Help: "Log lines that were dropped for lack of room.",
 	}, func() float64 { return float64(g.dropped()) })
@@ -45,6 +57,26 @@
 	}
 }
 
+// storeAge returns the seconds since the store last confirmed what is known, -1 if it never did.
+func (g *Gateway) storeAge() float64 {
+	at := g.fleet.Confirmed()
+	if at == 0 {
+		return -1
+	}
+	return g.clock.Now().Sub(at).Seconds()
+}
+
+// ejected counts the targets that are not trusted.
+func (g *Gateway) ejected() int {
+	n := 0
+	for _, u := range g.set.All() {
+		if !u.Trusted() {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *metrics) observe(o *route.Route, a *call.Answer, d time.Duration) {
 	m.requests.WithLabelValues(string(o.Name), string(a.Outcome), string(a.Reason)).Inc()
 	m.duration.WithLabelValues(string(o.Name)).Observe(d.Seconds())
