--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,11 +34,11 @@
 )
 
 const (
-	// gcPercent lets the heap grow to five times what is live: the process holds little, and each collection takes
-	// processor time from the requests in flight.
-	gcPercent = 400
-	// memoryShare is the part of the VM's memory above which the collector runs more often: a reader whose members all
-	// fetch at once would else let its heap grow to five times what is live.
+	// gcPercent lets the heap grow by 0.6 of what is live. A VM holds a few megabytes, whose collection takes less
+	// processor time than the memory of a larger heap is worth (docs/design/platform.md).
+	gcPercent = 60
+	// memoryShare is the part of the VM's memory above which the collector runs more often: a reader's heap grows while
+	// many members fetch from it at once.
 	memoryShare = 0.4
 )
 
