--- a/process/dispatch/owner.go
+++ b/process/dispatch/owner.go
@@ -51,7 +51,7 @@
 	return v.LeaseOf(d.tables.Of(v).Owner(id))
 }
 
-// owns reports whether this member owns the shard, or is the owner's deputy, and no earlier owner can still dispatch it.
+// owns reports whether this member owns the shard, or is the owner's deputy, and no earlier owner can dispatch it.
 func (d *Dispatcher) owns(v *view.View, id ident.Shard) bool {
 	t := d.tables.Of(v)
 	m := t.Dispatcher(id, v)
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -96,7 +96,7 @@
 	return false
 }
 
-// fetchNews fetches from the readers that have news which did not arrive as datagrams, over one connection kept for each.
+// fetchNews fetches the news that did not arrive as datagrams, over one connection kept for each reader.
 func (f *Fleet) fetchNews(ctx context.Context) {
 	conns := map[ident.Address]*jsonrpc2.Conn{}
 	for {
--- a/process/membership/closing.go
+++ b/process/membership/closing.go
@@ -105,7 +105,8 @@
 	}
 }
 
-// settle closes the tenures whose witnesses' grants have run out, and notes which of the member's own no deputy can hold.
+// settle closes the tenures whose witnesses' grants have run out, and notes which of the member's own no deputy can
+// hold.
 func (c *closing) settle(now clock.Instant, self lease.Key) {
 	for t, p := range c.tenures {
 		q := lease.Quorum(len(p.witnesses))
--- a/process/membership/deputy.go
+++ b/process/membership/deputy.go
@@ -12,9 +12,9 @@
 )
 
 // A deputy holds the lease of a dead member whose removal can't be written, since the platform is away. It needs the
-// grants of a quorum of the dead member's witnesses under the same epoch, each of which grants a lease to one holder at a
-// time; so the lease of a tenure has one holder at most, and rule 5 of docs/design/membership.md closes it all the same.
-// It asks once the dead member's own lease has run out: all witnesses are free then.
+// grants of a quorum of the dead member's witnesses under the same epoch, each of which grants a lease to one holder at
+// a time; so the lease of a tenure has one holder at most, and rule 5 of docs/design/membership.md closes it all the
+// same. It asks once the dead member's own lease has run out: all witnesses are free then.
 const (
 	// deputyAfter is how long a member is silent before a deputy asks for its lease, which has run out by then: a second
 	// after it could be removed, and a second before its shards are to be served again.
--- a/process/membership/fuzz_test.go
+++ b/process/membership/fuzz_test.go
@@ -171,8 +171,8 @@
 	return l.advance(time.Second)
 }
 
-// deputised is a fixed order of faults: a silent member gets a deputy and comes back, and a new member takes over some of
-// its shards while the deputy, cut off now, still has the lease.
+// deputised is a fixed order of faults: a silent member gets a deputy and comes back, and a new member takes over some
+// of its shards while the deputy, cut off now, still has the lease.
 func deputised(seed uint64) func(flaws) error {
 	return func(f flaws) error {
 		l := newFleet(seeded(seed), 6, 1, f)
--- a/process/view/view.go
+++ b/process/view/view.go
@@ -51,7 +51,7 @@
 	h.p.Store(v)
 }
 
-// LeaseOf returns when the lease ends by which this member may dispatch the shards that a member owns; zero without one.
+// LeaseOf returns when the lease ends by which this member may dispatch an owner's shards; zero without one.
 func (v *View) LeaseOf(owner *wire.Member) clock.Instant {
 	if owner.GetId() == string(v.Self) {
 		return v.LeaseUntil
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -134,11 +134,14 @@
 	u := h.Upstream
 	began := r.clock.Now()
 	x := r.send(ctx, s, &h)
-	r.log.Info().Str("Request", string(c.ID)).Str("Target", string(u.Target.ID)).
-		Str("DataCentre", string(u.Target.DataCentre)).Int("Asked", h.Asked).Float64("Score", h.Score).
-		Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Pace).
-		Dur("ReportAge", began.Sub(h.Report.At)).Str("End", endOf(x.Event)).Int("Status", x.Status).
-		Dur("Took", r.clock.Now().Sub(began)).Msg("attempt ended")
+	l := r.log.Info().Str("Request", string(c.ID)).Str("Target", string(u.Target.ID)).
+		Str("DataCentre", string(u.Target.DataCentre)).Int("Asked", h.Asked).Float64("Score", h.Score)
+	if h.Report.At != 0 {
+		// Without a report the target was chosen by this VM's own requests alone.
+		l = l.Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Pace).
+			Dur("ReportAge", began.Sub(h.Report.At))
+	}
+	l.Str("End", endOf(x.Event)).Int("Status", x.Status).Dur("Took", r.clock.Now().Sub(began)).Msg("attempt ended")
 	if h.Report.At != 0 && x.Status == http.StatusOK {
 		r.work.Learn(s.route.Name, h.Score, r.clock.Now().Sub(began))
 	}
