--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -198,8 +198,8 @@
 	return since
 }
 
-// pulse returns how long the watch that shows whether the store answers may wait. Its answers come pulseWait apart, also
-// when changes gathered in between, so that the members know in time that the store has confirmed what they know.
+// pulse returns how long the watch that shows whether the store answers may wait. Its answers come pulseWait apart,
+// also when changes gathered in between, so that members know in time that the store has confirmed what they know.
 func (f *Follower) pulse() time.Duration {
 	_, confirmed := f.Reading()
 	return max(pulseWait-f.clock.Now().Sub(confirmed), firstWait)
