Keep enough history for members of large fleets, and don't repeat fetches that take a second

History grows with the records, a listing is packed once also right after an outage, and a fetch may take 3 s. TestHistoryHolds fails on the code before.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -146,7 +146,7 @@
 		}
 	}
 	g.asOf[k], g.changed[k] = b.AsOf, b.AsOf
-	g.history[k].add(b)
+	g.history[k].add(b, len(n))
 	g.set(k, n)
 }
 
--- a/process/catalog/history.go
+++ b/process/catalog/history.go
@@ -6,8 +6,12 @@
 	"github.com/amaranthramp/amaranthramp/ident"
 )
 
-// maxHistory bounds the changes of one kind that are kept for other members.
-const maxHistory = 1000
+// The changes of one kind that are kept for other members are bounded by minHistory, or by historyFactor times its
+// records if these are more: a member that is a few batches behind must not need all records while many change at once.
+const (
+	minHistory    = 1000
+	historyFactor = 2
+)
 
 // history is the latest batches of changes of one kind.
 type history struct {
@@ -21,10 +25,11 @@
 	*h = history{from: asOf}
 }
 
-func (h *history) add(b Batch) {
+// add keeps a batch; records is how many the kind has.
+func (h *history) add(b Batch, records int) {
 	h.batches = append(h.batches, b)
 	h.changes += len(b.Changes)
-	for h.changes > maxHistory && len(h.batches) > 1 {
+	for h.changes > max(minHistory, historyFactor*records) && len(h.batches) > 1 {
 		h.from = h.batches[0].AsOf
 		h.changes -= len(h.batches[0].Changes)
 		h.batches = slices.Delete(h.batches, 0, 1)
--- a/process/catalog/told_test.go
+++ b/process/catalog/told_test.go
@@ -46,3 +46,26 @@
 		}
 	})
 }
+
+// TestHistoryHolds checks that a member that lags by a few large batches gets the changes, not all records.
+func TestHistoryHolds(t *testing.T) {
+	const records, batch = 3000, 900
+	g := New(clock.NewFake(), zerolog.Nop())
+	var l []Record
+	for i := range records {
+		l = append(l, Record{Name: fmt.Sprint("t-", i), Revision: 1})
+	}
+	g.Replace(Targets, l, 1)
+	for n := range 4 {
+		b := Batch{AsOf: ident.Revision(n + 2)}
+		for i := range batch {
+			o := l[(n*batch+i)%records]
+			o.Revision = b.AsOf
+			b.Changes = append(b.Changes, Change{Record: o})
+		}
+		g.Apply(Targets, b)
+	}
+	if n := g.Since(Targets, 1); n.Whole || len(n.Changes) != 4*batch {
+		t.Errorf("whole: %t, %d changes, want %d", n.Whole, len(n.Changes), 4*batch)
+	}
+}
--- a/process/fleet/news.go
+++ b/process/fleet/news.go
@@ -21,8 +21,9 @@
 // methodNews asks a reader for what is new.
 const methodNews = "Fleet.News"
 
-// newsTimeout bounds one call: a reader that takes longer is passed over for the next that sends a digest.
-const newsTimeout = time.Second
+// newsTimeout bounds one call: a reader that takes longer is passed over for the next that sends a digest. A reader
+// whose members all fetch a listing needs seconds, and repeated calls would make it later still.
+const newsTimeout = 3 * time.Second
 
 // pushWait is how long news that were told may take to arrive as datagrams before they are fetched.
 const pushWait = 40 * time.Millisecond
--- a/process/fleet/pack.go
+++ b/process/fleet/pack.go
@@ -23,26 +23,30 @@
 	mu    sync.Mutex
 	whole [catalog.Kinds]struct {
 		asOf ident.Revision
+		keep time.Duration
 		data []byte
 	}
 }
 
+// keepGrain is how much longer than it has to be a member may keep targets that are missing after an outage.
+const keepGrain = 300 * time.Millisecond
+
 // of returns the packed news of a kind since a revision.
 func (p *packed) of(g *catalog.Catalog, k catalog.Kind, since ident.Revision) ([]byte, error) {
 	n := g.Since(k, since)
 	keep := g.Keep()
-	if !n.Whole || keep > 0 {
+	if !n.Whole {
 		return pack(k, n, keep)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := &p.whole[k]
-	if w.data == nil || w.asOf != n.AsOf {
+	if w.data == nil || w.asOf != n.AsOf || w.keep < keep || w.keep > keep+keepGrain {
 		b, err := pack(k, n, keep)
 		if err != nil {
 			return nil, err
 		}
-		w.asOf, w.data = n.AsOf, b
+		w.asOf, w.keep, w.data = n.AsOf, keep, b
 	}
 	return w.data, nil
 }
