--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -32,8 +32,8 @@
 	// knownTurn comes before the turns of members that start again in a fleet that knows itself: time for the first two to
 	// read.
 	knownTurn = 600 * time.Millisecond
-	// outageReaders is how many members find out whether the store is away for all while readers are heard that it does
-	// not answer: with a third of the VMs turned away, not all of them are in one case of ten million.
+	// outageReaders is how many members find out whether the store is away for all, while readers are heard that get no
+	// answer. If it turns away a third of the VMs, these are all of the 16 in less than one case in ten million.
 	outageReaders = 16
 	// outageTurn is the pause before as many more look for themselves.
 	outageTurn = 2 * time.Second
--- a/process/membership/datagram_test.go
+++ b/process/membership/datagram_test.go
@@ -42,9 +42,11 @@
 	f := &wire.Frame{
 		Sender: n.Draw(t, "sender"), Target: n.Draw(t, "target"), Epoch: n.Draw(t, "epoch"), Closed: n.Draw(t, "force"),
 	}
-	switch rapid.IntRange(0, 5).Draw(t, "body") {
+	switch rapid.IntRange(0, 7).Draw(t, "body") {
 	case 0:
-		f.Body = &wire.Frame_Request{Request: &wire.LeaseRequest{Sequence: n.Draw(t, "sequence")}}
+		f.Body = &wire.Frame_Request{Request: &wire.LeaseRequest{
+			Sequence: n.Draw(t, "sequence"), Subject: n.Draw(t, "subject"),
+		}}
 	case 1:
 		f.Body = &wire.Frame_Grant{Grant: &wire.LeaseGrant{Sequence: n.Draw(t, "sequence")}}
 	case 2:
@@ -55,6 +57,10 @@
 		f.Body = &wire.Frame_Join{Join: &wire.Member{Id: rapid.String().Draw(t, "id")}}
 	case 5:
 		f.Body = &wire.Frame_Join{}
+	case 6:
+		f.Body = &wire.Frame_Deputy{Deputy: &wire.Deputy{Subject: n.Draw(t, "subject")}}
+	case 7:
+		f.Body = &wire.Frame_Deputy{}
 	}
 	return f
 }
