Send nothing to targets that announce leaving or ask for a pause

connection/exchange parses the notice of every response header, also of probes and of answers to other requests; connection/upstream keeps it as a pure state over time, for the incarnation, and beyond the end of its registration, which may come back after an outage. The choice of a target and the last check before the first byte follow it. If all targets of a service ask for a pause, callers are refused at once with the shortest rest.

Ruled out: counting such a refusal as a failure of the target (it would be ejected, and tried again within its pause).

Seen failing without the two checks: TestTargetLeaves (a request 67 ms after the announcement), TestTargetAsksForPause (Retry-After 0.150, not the rest of the pause).

--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -34,6 +34,8 @@
 	Incarnation string
 	// WarmupLeft names the header that holds how many milliseconds the warm-up of the target will still last.
 	WarmupLeft string
+	// Leaving marks a response of a target that is about to stop.
+	Leaving string
 }
 
 // Errors of a probe.
@@ -52,11 +54,16 @@
 	pool    *pool.Pool
 	clock   clock.Clock
 	headers *Headers
+	// notify receives the notice in each response of the target, and an error if a part of it can't be read.
+	notify func(Notice, error)
 }
 
-// NewTargetClient returns a client for the incarnation of a target to which the pool connects.
-func NewTargetClient(t ident.Target, a ident.Address, p *pool.Pool, c clock.Clock, h *Headers) *TargetClient {
-	return &TargetClient{target: t, address: a, pool: p, clock: c, headers: h}
+// NewTargetClient returns a client for the incarnation of a target to which the pool connects. It calls notify with the
+// notice in each response header that it reads, also if the response belongs to another request.
+func NewTargetClient(
+	t ident.Target, a ident.Address, p *pool.Pool, c clock.Clock, h *Headers, notify func(Notice, error),
+) *TargetClient {
+	return &TargetClient{target: t, address: a, pool: p, clock: c, headers: h, notify: notify}
 }
 
 // Probe requests the health and load of the target. Besides the report it returns the connection if another request may
@@ -96,6 +103,7 @@
 		return Report{}, false, fmt.Errorf("read: %w", err)
 	}
 	defer func() { _ = p.Body.Close() }()
+	d.notice(p)
 	if p.Header.Get(d.headers.RequestID) != "" {
 		return Report{}, false, errWrongRequest
 	}
@@ -167,6 +175,7 @@
 		if err != nil {
 			return broken(reasonOfIOError(err)), false
 		}
+		d.notice(p)
 		n.SetReadLimit(maxBodyBytes)
 		b, err := io.ReadAll(io.LimitReader(p.Body, call.MaxBody+1))
 		_ = p.Body.Close()
@@ -187,6 +196,15 @@
 	}
 }
 
+// notice passes on the notice in a response, unless another target sent it.
+func (d *TargetClient) notice(p *http.Response) {
+	i := p.Header.Get(d.headers.Incarnation)
+	if p.StatusCode == http.StatusMisdirectedRequest || i != "" && ident.Target(i) != d.target {
+		return
+	}
+	d.notify(parseNotice(d.headers, p))
+}
+
 func (d *TargetClient) result(p *http.Response, b []byte) Result {
 	r := Result{Event: outcome.Completed{}, Status: p.StatusCode, Header: p.Header, Body: b}
 	if p.Header.Get(d.headers.NotRun) != "" || p.StatusCode == http.StatusMisdirectedRequest {
--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -20,6 +20,9 @@
 	minConnections = 2
 )
 
+// maxDeparted bounds the targets whose notices are remembered after the end of their registration.
+const maxDeparted = 1024
+
 // incarnationKey identifies one incarnation of a target. A target that restarts under the same id gets a new Upstream,
 // because nothing known of the earlier process holds for the new one.
 type incarnationKey struct {
@@ -36,11 +39,25 @@
 
 	mu  sync.Mutex
 	all map[incarnationKey]*Upstream
+	// departed holds the notices of targets that are no longer registered, since a registration that has expired in an
+	// outage of the store can come back. departures lists their keys, oldest first.
+	departed   map[incarnationKey]notices
+	departures []incarnationKey
 }
 
 // NewSet returns an empty set whose upstreams open connections with the given dial function.
 func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, d pool.Dial) *Set {
-	return &Set{clock: c, log: l, headers: h, dial: d, all: map[incarnationKey]*Upstream{}}
+	return &Set{
+		clock: c, log: l, headers: h, dial: d, all: map[incarnationKey]*Upstream{}, departed: map[incarnationKey]notices{},
+	}
+}
+
+// noticesOf returns what is known of an incarnation from before; the lock must be held.
+func (s *Set) noticesOf(k incarnationKey) notices {
+	if u, ok := s.all[k]; ok {
+		return u.currentNotices()
+	}
+	return s.departed[k]
 }
 
 // Get returns the upstream of a target, creating it on first use or when the target's address has changed. This VM
@@ -56,10 +73,8 @@
 			limit = min(max(connLimit, minConnections), maxConnections)
 		}
 		p := exchange.NewPool(t.Address, limit, s.dial, s.clock)
-		u = &Upstream{
-			Target: t, clock: s.clock, log: s.log, trust: newTrust(),
-			client: exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers),
-		}
+		u = &Upstream{Target: t, clock: s.clock, log: s.log, trust: newTrust(), notices: s.noticesOf(k)}
+		u.client = exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers, u.recordNotice)
 		s.all[k] = u
 	}
 	return u
@@ -78,10 +93,25 @@
 		if !keep[k] {
 			u.Close()
 			delete(s.all, k)
+			s.remember(k, u.currentNotices())
 		}
 	}
 }
 
+// remember keeps the notices of a target that is no longer registered; the lock must be held.
+func (s *Set) remember(k incarnationKey, n notices) {
+	if _, ok := s.departed[k]; !ok && n.accepts(s.clock.Now()) {
+		return
+	} else if !ok {
+		s.departures = append(s.departures, k)
+	}
+	s.departed[k] = n
+	if len(s.departures) > maxDeparted {
+		delete(s.departed, s.departures[0])
+		s.departures = s.departures[1:]
+	}
+}
+
 // All returns the upstreams that have been used so far.
 func (s *Set) All() []*Upstream {
 	s.mu.Lock()
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex
 	trust    *trust
+	notices  notices
 	inFlight int
 	// recentSends are the times of the latest sends, which the last report may not count yet.
 	recentSends []clock.Instant
@@ -111,6 +112,54 @@
 	return u.trust.usable(u.clock.Now())
 }
 
+// Accepts reports whether the target may be sent requests and probes now: it has not announced that it leaves, and it
+// has not asked for a pause.
+func (u *Upstream) Accepts() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices.accepts(u.clock.Now())
+}
+
+// QuietFor returns how much longer the target wants no requests; zero if it does not, or if it leaves.
+func (u *Upstream) QuietFor() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.notices.leaving {
+		return 0
+	}
+	return max(u.notices.quietUntil.Sub(u.clock.Now()), 0)
+}
+
+// Leaving reports whether the target has announced that it leaves.
+func (u *Upstream) Leaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices.leaving
+}
+
+func (u *Upstream) currentNotices() notices {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices
+}
+
+// recordNotice records the notice in a response of the target; err means that a part of it can't be read.
+func (u *Upstream) recordNotice(n exchange.Notice, err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	before := u.notices
+	u.notices = before.record(u.clock.Now(), n)
+	l := u.log.Info().Str("Target", string(u.Target.ID)).Str("Service", string(u.Target.Service))
+	switch {
+	case err != nil:
+		l.Err(err).Msg("notice of target ignored")
+	case u.notices.leaving && !before.leaving:
+		l.Msg("target announced that it leaves")
+	case n.QuietFor > 0:
+		l.Dur("Pause", n.QuietFor).Msg("target asked for a pause")
+	}
+}
+
 // WarmupEnd returns the end of the target's warm-up according to its last report.
 func (u *Upstream) WarmupEnd() clock.Instant {
 	u.mu.Lock()
@@ -150,6 +199,11 @@
 // recordResult updates the trust by the result of a request.
 func (u *Upstream) recordResult(r exchange.Result) {
 	now := u.clock.Now()
+	if !u.notices.accepts(now) {
+		// A target that leaves or pauses says so with a refusal, which is no sign of a failure.
+		u.trust.recordInconclusive()
+		return
+	}
 	failed := false
 	switch e := r.Event.(type) {
 	case outcome.Completed:
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -310,3 +311,71 @@
 		}
 	}
 }
+
+// TestTargetLeaves checks that a target gets nothing more once it has announced in a response that it leaves, although
+// its registration still says that it is ready, and that a later response without the announcement changes nothing.
+func TestTargetLeaves(t *testing.T) {
+	b := newTestGateway(t, 2, time.Millisecond)
+	g := b.targets[0]
+	g.Leaving.Store(true)
+	// Each request probes both targets.
+	b.sendAll(t, 1)
+	g.Leaving.Store(false)
+	announced := time.Now()
+	b.sendAll(t, 50)
+	if d := b.runLog.LastRun(g.ID).Sub(announced); d > 0 {
+		t.Errorf("target got a request %s after it had announced that it leaves, want none", d)
+	}
+}
+
+// TestTargetAsksForPause checks that a target gets neither requests nor probes in the pause that it asks for with
+// Retry-After, that the callers are told at once when to come back if all targets do, and that requests go on after it.
+func TestTargetAsksForPause(t *testing.T) {
+	b := newTestGateway(t, 2, time.Millisecond)
+	const pause = 1200 * time.Millisecond
+	for _, g := range b.targets {
+		g.AskForPause("1.2")
+	}
+	rejected := func() int64 { return b.targets[0].Rejected() + b.targets[1].Rejected() }
+	b.waitUntil(t, "both targets have asked for a pause", func() bool {
+		b.sendAll(t, 2)
+		return b.targets[0].Rejected() > 0 && b.targets[1].Rejected() > 0
+	})
+	began := time.Now()
+	before := rejected()
+	for time.Since(began) < pause/2 {
+		sent := time.Now()
+		p, _, err := b.send(context.Background(), "GET", "/read/1", "q", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		after, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+		if p.StatusCode != http.StatusServiceUnavailable || err != nil || after < 0.3 || after > pause.Seconds() {
+			t.Fatalf("status %d, Retry-After %q, want 503 and the rest of the pause", p.StatusCode, p.Header.Get("Retry-After"))
+		}
+		if d := time.Since(sent); d > 100*time.Millisecond {
+			t.Errorf("refused after %s, want at once", d)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if n := rejected() - before; n > 0 {
+		t.Errorf("targets got %d requests or probes in their pause, want none", n)
+	}
+	for _, g := range b.targets {
+		g.AskForPause("")
+	}
+	time.Sleep(pause - time.Since(began))
+	if p, _, err := b.send(context.Background(), "GET", "/read/1", "after", ""); err != nil || p.StatusCode != 200 {
+		t.Errorf("response %v, error %v after the pause, want status 200", p, err)
+	}
+}
+
+// sendAll sends n requests one after the other.
+func (b *testGateway) sendAll(t *testing.T, n int) {
+	t.Helper()
+	for i := range n {
+		if _, _, err := b.send(context.Background(), "GET", "/read/1", fmt.Sprint("s", i), ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -122,6 +122,8 @@
 	// Probed is the number of targets probed, including those of earlier unsuccessful rounds.
 	Probed int
 	Score  float64
+	// RetryAfter is, if there is no target because all have asked for a pause, when the first pause ends; zero otherwise.
+	RetryAfter time.Duration
 }
 
 // candidate is a target to which the request may be sent.
@@ -158,7 +160,7 @@
 		case s != nil:
 			return Choice{Upstream: s.upstream, Conn: s.conn, Report: s.report, Probed: probed, Score: s.score}, ""
 		case !hasTargets:
-			return Choice{Probed: probed}, outcome.NoTarget
+			return c.noTarget(q, probed)
 		case ctx.Err() != nil:
 			return Choice{Probed: probed}, outcome.Cancelled
 		case c.clock.Now() >= q.WaitUntil:
@@ -167,6 +169,22 @@
 	}
 }
 
+// noTarget returns the result for a service without an eligible target. If its targets have asked for a pause, waiting
+// for one of them would outlast the wait for a target in most cases, so the request is refused at once.
+func (c *Chooser) noTarget(q *Query, probed int) (Choice, outcome.Reason) {
+	shortest := time.Duration(0)
+	for _, t := range c.catalog.Get().Roster.Available(q.Service.Name) {
+		d := c.upstreams.Get(t, 0).QuietFor()
+		if d > 0 && (shortest == 0 || d < shortest) {
+			shortest = d
+		}
+	}
+	if shortest > 0 {
+		return Choice{Probed: probed, RetryAfter: shortest}, outcome.Overload
+	}
+	return Choice{Probed: probed}, outcome.NoTarget
+}
+
 // tryChoose tries once to choose a target, and counts the request as in flight there, so that concurrent choices take
 // it into account. The result hasTargets is false if the service has no eligible target at all.
 func (c *Chooser) tryChoose(ctx context.Context, q *Query, l *probeLimiter) (
@@ -190,7 +208,8 @@
 	return nil, probed, true
 }
 
-// eligible returns the targets to which the request may be sent. A target is ejected after failures and then
+// eligible returns the targets to which the request may be sent. Targets that leave or have asked for a pause are never
+// among them. A target is ejected after failures and then
 // gets only trial requests (see package upstream). Ejected targets for which no trial is due are excluded only if the
 // others are at least half of all targets.
 func (c *Chooser) eligible(q *Query) []candidate {
@@ -203,6 +222,9 @@
 			continue
 		}
 		u := c.upstreams.Get(t, connections)
+		if !u.Accepts() {
+			continue
+		}
 		k := candidate{upstream: u, target: t, cold: now < max(u.WarmupEnd(), t.ColdUntil)}
 		if u.Usable() {
 			usable = append(usable, k)
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/upstream"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -132,7 +133,9 @@
 	if reason != "" {
 		r.log.Info().Str("Request", string(c.ID)).Str("Service", string(c.Service)).Int("Asked", h.Probed).
 			Str("Reason", string(reason)).Msg("no target for the request")
-		return s.withOverallOutcome(notRunResponse(reason)), false
+		a := notRunResponse(reason)
+		a.RetryAfter = max(a.RetryAfter, h.RetryAfter)
+		return s.withOverallOutcome(a), false
 	}
 	u := h.Upstream
 	began := r.clock.Now()
@@ -162,14 +165,15 @@
 	if s.call.Idempotent && len(s.tried)+1 < s.route.MaxAttempts {
 		go r.watchdog(ctx, cancel, s, h)
 	}
-	check := func() outcome.Reason { return r.checkBeforeWrite(h.Upstream.Target.ID, s.call) }
+	check := func() outcome.Reason { return r.checkBeforeWrite(h.Upstream, s.call) }
 	return h.Upstream.Do(ctx, h.Conn, s.call, check)
 }
 
 // checkBeforeWrite runs immediately before the first byte of a request is written, so that no request is sent to a
-// target that has begun to drain or after the deadline. It returns the reason not to send, if any.
-func (r *Relay) checkBeforeWrite(id ident.Target, c *call.Call) outcome.Reason {
-	if !r.catalog.Get().Roster.Accepts(c.Service, id) {
+// target that has begun to drain or has asked for a pause, or after the deadline. It returns the reason not to send, if
+// any.
+func (r *Relay) checkBeforeWrite(u *upstream.Upstream, c *call.Call) outcome.Reason {
+	if !r.catalog.Get().Roster.Accepts(c.Service, u.Target.ID) || !u.Accepts() {
 		return outcome.NoTarget
 	}
 	if c.Deadline <= r.clock.Now() {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -293,7 +293,8 @@
 	if sends, _ := f.counts(); a.Status != 503 || a.Reason != outcome.NoTarget || sends != 0 {
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
 	}
-	if r := y.checkBeforeWrite("i-1", &call.Call{Service: "book", Deadline: 1 << 62}); r != outcome.NoTarget {
+	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, pool.DialTCP).Get(roster.Target{ID: "i-1", Service: "book"}, 0)
+	if r := y.checkBeforeWrite(u, &call.Call{Service: "book", Deadline: 1 << 62}); r != outcome.NoTarget {
 		t.Errorf("check before write returned %q, want no-target", r)
 	}
 }
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -40,9 +40,13 @@
 	}
 }
 
-// confirmLost probes the target and reports whether it certainly does not run the attempt. A failed probe proves
+// confirmLost probes the target and reports whether it certainly does not run the attempt. It does not probe a target
+// that leaves or has asked for a pause. A failed probe proves
 // nothing, since a target that runs requests may have no connection to spare.
 func (r *Relay) confirmLost(ctx context.Context, s *requestState, h *candidate.Choice) bool {
+	if !h.Upstream.Accepts() {
+		return false
+	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	p, n, err := h.Upstream.Probe(c, s.service.HealthPath)
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -78,6 +78,12 @@
 	LoseAnswers atomic.Bool
 	// Fail makes the target respond with status 500 after it has run a request.
 	Fail atomic.Bool
+	// Leaving makes the target announce in all responses that it leaves.
+	Leaving atomic.Bool
+	// pause is the value of Retry-After with which the target rejects all requests; empty if it rejects none.
+	pause atomic.Value
+	// rejected counts the requests and probes that the target has answered with a pause.
+	rejected atomic.Int64
 }
 
 // Start starts a target on a loopback address. A run of a request takes the time work.
@@ -113,10 +119,28 @@
 	}
 }
 
+// AskForPause makes the target answer all requests and probes with 503 and this value of Retry-After; an empty value
+// ends that.
+func (t *Target) AskForPause(retryAfter string) {
+	t.pause.Store(retryAfter)
+}
+
+// Rejected returns how many requests and probes the target has answered with a pause.
+func (t *Target) Rejected() int64 {
+	return t.rejected.Load()
+}
+
 // ServeHTTP runs a request; one without a request id is answered as a probe.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(t.headers.Load, fmt.Sprintf("%d,%d,%d,100", t.running.Load(), t.waiting.Load(), t.slots))
+	if t.Leaving.Load() {
+		w.Header().Set(t.headers.Leaving, "1")
+	}
 	id := r.Header.Get(t.headers.RequestID)
+	if p, _ := t.pause.Load().(string); p != "" {
+		t.reject(w, id, p)
+		return
+	}
 	if id == "" {
 		w.Header().Set(t.headers.Incarnation, t.ID)
 		return
@@ -148,6 +172,17 @@
 	_, _ = io.WriteString(w, id+" "+strconv.Itoa(len(b)))
 }
 
+// reject answers that the request has not run and that the target wants no more for a time.
+func (t *Target) reject(w http.ResponseWriter, id, pause string) {
+	t.rejected.Add(1)
+	if id != "" {
+		w.Header().Set(t.headers.RequestID, id)
+	}
+	w.Header().Set(t.headers.NotRun, "1")
+	w.Header().Set("Retry-After", pause)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // acquireSlot takes a slot, for which it waits if necessary. It returns false if the queue is full or the request is
 // cancelled.
 func (t *Target) acquireSlot(r *http.Request) bool {
