--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/bench/relay"
+	"github.com/amaranthramp/amaranthramp/platform"
 	"github.com/amaranthramp/amaranthramp/standin/objects"
 	"github.com/amaranthramp/amaranthramp/standin/target"
 )
@@ -41,11 +42,15 @@
 		return s.withStoreFault(r, objects.Faults{Silent: true})
 	}},
 	{"store history lost", true, func(s *soak, _ *rand.Rand) error { s.store.Compact(); return nil }},
+	{"store restored from a copy", true, restoreStore},
 	{"target crashes", false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, false) }},
 	{"target drains", false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, true) }},
 	{"target answers lost", false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.LoseAnswers.Store(on) })
 	}},
+	{"target asks for pauses", false, func(s *soak, r *rand.Rand) error {
+		return s.withTargetFault(r, func(t *target.Target, on bool) { t.AskForPause(map[bool]string{true: "0.7"}[on]) })
+	}},
 	{"target requests fail", false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.Fail.Store(on) })
 	}},
@@ -86,6 +91,23 @@
 	return nil
 }
 
+// restoreStore lets the store be away for a moment and come back from a copy that is up to 2 s old. The operator and the
+// targets then write again what it has lost.
+func restoreStore(s *soak, r *rand.Rand) error {
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	old := s.store.Copy()
+	time.Sleep(randomDuration(r, 100, 2000))
+	s.store.SetFaults(objects.Faults{Silent: true})
+	time.Sleep(randomDuration(r, 100, 1000))
+	last := s.store.Copy()
+	s.store.Restore(old)
+	s.store.SetFaults(objects.Faults{})
+	time.Sleep(randomDuration(r, 100, 2000))
+	s.store.Rewrite(old, last, platform.ConfigurationKind, platform.TargetKind, platform.EvacuationKind)
+	return nil
+}
+
 // withTargetFault turns a fault of one target on, and off again after a random time.
 func (s *soak) withTargetFault(r *rand.Rand, set func(t *target.Target, on bool)) error {
 	t := s.anyTarget(r)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -245,6 +245,7 @@
 		return err
 	}
 	if drain {
+		t.Leaving.Store(true)
 		g := t.Registration(v, dataCentre(0))
 		g.Draining = true
 		e, err := platform.EncodeTarget(g, 0)
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -30,9 +30,13 @@
 // Route is the name of a route of the configuration.
 type Route string
 
-// Revision is the revision number of a store; it increases with each change.
+// Revision is the revision number of a store; it increases with each change within an era.
 type Revision uint64
 
+// Era is the number of times that a store has come back from an older copy of its content. Revisions after the copy are
+// given out again then, so a revision identifies a state of the store only together with its era.
+type Era uint64
+
 // Address is a network address of the form host:port.
 type Address string
 
--- /dev/null
+++ b/process/catalog/carried_over.go
@@ -0,0 +1,95 @@
+package catalog
+
+import (
+	"maps"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+// When the store comes back from an older copy, its new era lacks the last changes of the previous one until their
+// writers write them again. A target that was leaving, or a data centre that was evacuated, must not get requests in
+// the meantime: it stays out until a write in the new era says otherwise, for at most carryOverTime.
+const (
+	// carryOverTime is well above the seconds in which targets and operators write again what the store has lost.
+	carryOverTime = 30 * time.Second
+	// removalMemory is how long a removed target is remembered; a copy is only some seconds old.
+	removalMemory = 30 * time.Second
+)
+
+// incarnation identifies one run of a target.
+type incarnation struct {
+	id          ident.Target
+	startedAtMs int64
+}
+
+// carriedOver holds what stays out of service across a change of the era, each with the instant until which it does.
+type carriedOver struct {
+	leaving   map[incarnation]clock.Instant
+	evacuated map[ident.DataCentre]clock.Instant
+	// removed holds when each target was removed in the current era.
+	removed map[incarnation]clock.Instant
+}
+
+func newCarriedOver() carriedOver {
+	return carriedOver{
+		leaving: map[incarnation]clock.Instant{}, evacuated: map[ident.DataCentre]clock.Instant{},
+		removed: map[incarnation]clock.Instant{},
+	}
+}
+
+// recordRemoval remembers a target whose registration was removed in the current era.
+func (c *carriedOver) recordRemoval(now clock.Instant, r Record) {
+	e, ok := r.Entry.(Registration)
+	if !ok {
+		return
+	}
+	maps.DeleteFunc(c.removed, func(_ incarnation, at clock.Instant) bool { return now.Sub(at) >= removalMemory })
+	c.removed[incarnation{e.Target.ID, e.Target.StartedAtMs}] = now
+}
+
+// changeEra carries over what was out of service in the records of the previous era and is not out in the listing of
+// the new one.
+func (c *carriedOver) changeEra(now clock.Instant, k Kind, old, listed map[string]Record) {
+	end := now.Add(carryOverTime)
+	switch k {
+	case Targets:
+		for i, at := range c.removed {
+			if now.Sub(at) < removalMemory {
+				c.leaving[i] = end
+			}
+		}
+		clear(c.removed)
+		for _, r := range old {
+			if e, ok := r.Entry.(Registration); ok && e.Target.Draining {
+				c.leaving[incarnation{e.Target.ID, e.Target.StartedAtMs}] = end
+			}
+		}
+	case Evacuations:
+		for name, r := range old {
+			e, ok := r.Entry.(Evacuation)
+			if _, still := listed[name]; ok && !still {
+				c.evacuated[e.DataCentre] = end
+			}
+		}
+	}
+}
+
+// recordWrite ends what is carried over for an object that has been written or deleted in the new era.
+func (c *carriedOver) recordWrite(k Kind, name string) {
+	switch k {
+	case Targets:
+		maps.DeleteFunc(c.leaving, func(i incarnation, _ clock.Instant) bool { return string(i.id) == name })
+	case Evacuations:
+		delete(c.evacuated, ident.DataCentre(name))
+	}
+}
+
+// expire removes what has been carried over for carryOverTime, and reports whether there was any.
+func (c *carriedOver) expire(now clock.Instant) bool {
+	n := len(c.leaving) + len(c.evacuated)
+	maps.DeleteFunc(c.leaving, func(_ incarnation, end clock.Instant) bool { return now >= end })
+	maps.DeleteFunc(c.evacuated, func(_ ident.DataCentre, end clock.Instant) bool { return now >= end })
+	return len(c.leaving)+len(c.evacuated) < n
+}
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -21,8 +21,8 @@
 	// Table is nil until the first configuration has been read.
 	Table  *route.Table
 	Roster *roster.Roster
-	// Revisions holds, for each kind, the store revision up to which the catalog is current.
-	Revisions [KindCount]ident.Revision
+	// Positions holds, for each kind, the state of the store up to which the catalog is current.
+	Positions [KindCount]Position
 	// Members are the VMs that have registered, including those that no longer run.
 	Members []roster.Member
 	// Complete is true once every kind has been listed.
@@ -38,10 +38,10 @@
 	mu      sync.Mutex
 	table   *route.Table
 	records [KindCount]map[string]Record
-	asOf    [KindCount]ident.Revision
-	// lastChange is the revision of the last change of each kind, checksums are computed over its records, and history
+	asOf    [KindCount]Position
+	// lastChange is the position of the last change of each kind, checksums are computed over its records, and history
 	// holds its recent changes.
-	lastChange [KindCount]ident.Revision
+	lastChange [KindCount]Position
 	checksums  [KindCount]uint64
 	history    [KindCount]history
 	// retentionEnds maps each target that was missing from the store right after an outage to the instant until which it
@@ -49,13 +49,18 @@
 	retentionEnds map[string]clock.Instant
 	// graceEnd is the end of the grace period in which targets that expired in an outage can register again.
 	graceEnd clock.Instant
+	// carried holds what stays out of service although the store's new era does not say so.
+	carried carriedOver
 	// viewPublished is closed and replaced each time a view is published.
 	viewPublished chan struct{}
 }
 
 // New returns an empty catalog.
 func New(c clock.Clock, l zerolog.Logger) *Catalog {
-	g := &Catalog{clock: c, log: l, retentionEnds: map[string]clock.Instant{}, viewPublished: make(chan struct{})}
+	g := &Catalog{
+		clock: c, log: l, retentionEnds: map[string]clock.Instant{}, viewPublished: make(chan struct{}),
+		carried: newCarriedOver(),
+	}
 	g.view.Store(&View{Roster: roster.New(nil, nil)})
 	return g
 }
@@ -87,55 +92,92 @@
 	return max(g.graceEnd.Sub(g.clock.Now()), 0)
 }
 
-// Replace replaces the records of a kind by a complete listing; a listing older than the catalog is ignored.
-func (g *Catalog) Replace(k Kind, records []Record, asOf ident.Revision) {
+// Replace replaces the records of a kind by a complete listing; a listing older than the catalog is ignored. A listing
+// without a known position, whose content may be out of date, is used until one with a position arrives.
+func (g *Catalog) Replace(k Kind, records []Record, asOf Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.records[k] != nil && asOf < g.asOf[k] {
+	if g.records[k] != nil && (asOf.Before(g.asOf[k]) || !asOf.Known()) {
 		return
 	}
 	old := g.records[k]
 	n := make(map[string]Record, len(records))
 	for _, r := range records {
 		n[r.Name] = r
-		g.logChange(k, r, old)
-		delete(g.retentionEnds, r.Name)
 	}
-	if old == nil {
-		g.log.Info().Str("Kind", k.String()).Int("Records", len(n)).Uint64("AsOf", uint64(asOf)).Msg("initial listing loaded")
+	if old != nil && asOf.Era == g.asOf[k].Era && g.asOf[k].Known() {
+		g.history[k].addGap(g.asOf[k], asOf)
+		g.update(k, Batch{Changes: g.diff(k, n), AsOf: asOf})
+		// A member may have seen a change that was undone before this listing. It learns from the checksum whether it has.
+		g.lastChange[k] = asOf
+		return
+	}
+	if old != nil && g.asOf[k].Known() {
+		g.changeEra(k, old, n)
+	}
+	g.log.Info().Str("Kind", k.String()).Int("Records", len(n)).Uint64("AsOf", uint64(asOf.Revision)).
+		Uint64("Era", uint64(asOf.Era)).Msg("listing loaded")
+	g.asOf[k], g.lastChange[k] = asOf, asOf
+	g.history[k].reset(asOf)
+	g.setRecords(k, n)
+}
+
+// changeEra prepares the first listing of a new era to replace the old records. Targets that it lacks may have
+// registered after the copy was made, and have time to register again.
+func (g *Catalog) changeEra(k Kind, old, listed map[string]Record) {
+	now := g.clock.Now()
+	g.carried.changeEra(now, k, old, listed)
+	if k != Targets {
+		return
 	}
+	clear(g.retentionEnds)
+	g.graceEnd = max(g.graceEnd, now.Add(reregisterGrace))
 	for name, r := range old {
-		if _, ok := n[name]; !ok && !g.retainMissing(k, r, n) {
-			g.finishRemoval(k, r)
+		if _, ok := listed[name]; !ok {
+			g.retainMissing(k, r, listed)
 		}
 	}
-	if g.records[k] == nil || !sameRevisions(old, n) {
-		g.lastChange[k] = asOf
-		g.history[k].reset(asOf)
-	}
-	g.asOf[k] = asOf
-	g.setRecords(k, n)
 }
 
-func sameRevisions(a, b map[string]Record) bool {
-	return maps.EqualFunc(a, b, func(x, y Record) bool { return x.Revision == y.Revision })
+// diff returns the changes that turn the present records of a kind into the listed ones, both of one era. Retained
+// targets are no records of the store, and their revisions may be those of an earlier era.
+func (g *Catalog) diff(k Kind, listed map[string]Record) []Change {
+	var l []Change
+	for name, r := range listed {
+		if o, ok := g.records[k][name]; !ok || o.Revision != r.Revision || g.isRetained(k, name) {
+			l = append(l, Change{Record: r})
+		}
+	}
+	for name, r := range g.records[k] {
+		if _, ok := listed[name]; !ok && !g.isRetained(k, name) {
+			l = append(l, Change{Record: r, Deleted: true})
+		}
+	}
+	return l
 }
 
-// Apply applies a batch of changes since the revision up to which the kind is current; an older batch is ignored.
+// Apply applies a batch of changes since the revision up to which the kind is current. A batch that is older, or of
+// another era, is ignored.
 func (g *Catalog) Apply(k Kind, b Batch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b.AsOf < g.asOf[k] {
+	if b.AsOf.Era != g.asOf[k].Era || b.AsOf.Before(g.asOf[k]) || !g.asOf[k].Known() {
 		return
 	}
+	g.update(k, b)
+}
+
+// update applies changes to the records of a kind; the lock must be held.
+func (g *Catalog) update(k Kind, b Batch) {
+	g.asOf[k] = b.AsOf
 	if len(b.Changes) == 0 {
-		g.asOf[k] = b.AsOf
 		return
 	}
 	n := maps.Clone(g.records[k])
+	g.logChanges(k, b.Changes, n)
 	for _, c := range b.Changes {
+		g.carried.recordWrite(k, c.Name)
 		if !c.Deleted {
-			g.logChange(k, c.Record, n)
 			n[c.Name] = c.Record
 			delete(g.retentionEnds, c.Name)
 			continue
@@ -146,12 +188,13 @@
 			g.finishRemoval(k, r)
 		}
 	}
-	g.asOf[k], g.lastChange[k] = b.AsOf, b.AsOf
+	g.lastChange[k] = b.AsOf
 	g.history[k].add(b, len(n))
 	g.setRecords(k, n)
 }
 
-// RemoveExpired removes the missing targets that did not register again within the grace period after an outage.
+// RemoveExpired removes the missing targets that did not register again within the grace period after an outage, and
+// ends what has been carried over from the previous era of the store for long enough.
 func (g *Catalog) RemoveExpired() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -167,19 +210,32 @@
 			n = maps.Clone(n)
 			delete(n, name)
 			g.finishRemoval(Targets, r)
+			g.log.Info().Str("Kind", Targets.String()).Str("Name", name).Msg("object is gone")
 			dropped = true
 		}
 	}
 	if dropped {
 		g.setRecords(Targets, n)
 	}
+	if g.carried.expire(now) {
+		g.publish()
+	}
+}
+
+// isRetained reports whether a record is a target that the store no longer has.
+func (g *Catalog) isRetained(k Kind, name string) bool {
+	_, ok := g.retentionEnds[name]
+	return ok && k == Targets
 }
 
-// setRecords replaces the records of a kind, updates their checksum and publishes a new view.
+// setRecords replaces the records of a kind, updates the checksum of those that the store has, and publishes a new view.
 func (g *Catalog) setRecords(k Kind, n map[string]Record) {
 	g.records[k] = n
 	g.checksums[k] = 0
 	for name, r := range n {
+		if g.isRetained(k, name) {
+			continue
+		}
 		g.checksums[k] ^= xxhash.Sum64String(name + "@" + strconv.FormatUint(uint64(r.Revision), 10))
 	}
 	g.publish()
@@ -202,16 +258,35 @@
 	return true
 }
 
-// logChange logs a new or changed record. The operator's explain command matches the texts of its messages.
-func (g *Catalog) logChange(k Kind, r Record, old map[string]Record) {
-	if old == nil && k != Configurations {
-		// Replace logs the initial listing in one line.
+// maxLoggedChanges is how many changes of one batch are logged one by one; a larger batch is logged in one line.
+const maxLoggedChanges = 16
+
+// logChanges logs a batch of changes to the given records. The operator's explain command matches the texts of the
+// messages on single records.
+func (g *Catalog) logChanges(k Kind, l []Change, old map[string]Record) {
+	if len(l) > maxLoggedChanges && k != Configurations {
+		removed := 0
+		for _, c := range l {
+			if c.Deleted {
+				removed++
+			}
+		}
+		g.log.Info().Str("Kind", k.String()).Int("Written", len(l)-removed).Int("Removed", removed).
+			Msg("many objects changed")
 		return
 	}
-	o, known := old[r.Name]
-	if known && o.Revision == r.Revision {
-		return
+	for _, c := range l {
+		if c.Deleted {
+			g.log.Info().Str("Kind", k.String()).Str("Name", c.Name).Msg("object is gone")
+			continue
+		}
+		g.logChange(k, c.Record, old)
 	}
+}
+
+// logChange logs a new or changed record.
+func (g *Catalog) logChange(k Kind, r Record, old map[string]Record) {
+	o := old[r.Name]
 	e := g.log.Info().Str("Kind", k.String()).Str("Name", r.Name).Uint64("Revision", uint64(r.Revision))
 	switch v := r.Entry.(type) {
 	case Registration:
@@ -232,16 +307,18 @@
 	}
 }
 
-// finishRemoval logs that a record has been removed, and stops retaining it if it was a target retained after an outage
-// of the store.
+// finishRemoval remembers that a record has been removed, and stops retaining it if it was a target retained after an
+// outage of the store.
 func (g *Catalog) finishRemoval(k Kind, r Record) {
 	delete(g.retentionEnds, r.Name)
-	g.log.Info().Str("Kind", k.String()).Str("Name", r.Name).Msg("object is gone")
+	if k == Targets {
+		g.carried.recordRemoval(g.clock.Now(), r)
+	}
 }
 
 // publish builds a view from the records and publishes it. The table never reverts to an older version.
 func (g *Catalog) publish() {
-	v := &View{Revisions: g.asOf, Complete: true}
+	v := &View{Positions: g.asOf, Complete: true}
 	for k := range KindCount {
 		v.Complete = v.Complete && g.records[k] != nil
 	}
@@ -254,6 +331,9 @@
 	var targets []roster.Target
 	for _, r := range g.records[Targets] {
 		if e, ok := r.Entry.(Registration); ok {
+			if _, leaving := g.carried.leaving[incarnation{e.Target.ID, e.Target.StartedAtMs}]; leaving {
+				e.Target.Draining = true
+			}
 			targets = append(targets, e.Target)
 		}
 	}
@@ -268,6 +348,9 @@
 			evacuated = append(evacuated, e.DataCentre)
 		}
 	}
+	for d := range g.carried.evacuated {
+		evacuated = append(evacuated, d)
+	}
 	v.Roster = roster.New(targets, evacuated)
 	g.view.Store(v)
 	close(g.viewPublished)
--- a/process/catalog/catalog_test.go
+++ b/process/catalog/catalog_test.go
@@ -28,6 +28,12 @@
 	// historyStart is the revision after which the history is complete.
 	historyStart ident.Revision
 	down         bool
+	// era is how often the store has come back from its copy, which backUp makes.
+	era  ident.Era
+	copy struct {
+		revision ident.Revision
+		records  [KindCount]map[string]Record
+	}
 }
 
 type fakeEvent struct {
@@ -42,9 +48,35 @@
 	for k := range KindCount {
 		m.records[k] = map[string]Record{}
 	}
+	m.backUp()
 	return m
 }
 
+func (m *fakeStore) backUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copy.revision = m.revision
+	for k := range KindCount {
+		m.copy.records[k] = maps.Clone(m.records[k])
+	}
+}
+
+// restore replaces the content by the copy and begins a new era.
+func (m *fakeStore) restore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision, m.history, m.historyStart = m.copy.revision, nil, m.copy.revision
+	for k := range KindCount {
+		m.records[k] = maps.Clone(m.copy.records[k])
+	}
+}
+
+// position returns the state of the store; the lock must be held.
+func (m *fakeStore) position() Position {
+	return Position{Era: m.era, Revision: m.revision}
+}
+
 func (m *fakeStore) put(k Kind, name string, e Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -92,7 +124,7 @@
 	if m.down {
 		return Page{}, errDown
 	}
-	p := Page{AsOf: m.revision}
+	p := Page{AsOf: m.position()}
 	for _, n := range slices.Sorted(maps.Keys(m.records[k])) {
 		if n <= after {
 			continue
@@ -115,11 +147,11 @@
 			m.mu.Unlock()
 			return Batch{}, errDown
 		}
-		if since < m.historyStart {
+		if since < m.historyStart || since > m.revision {
 			m.mu.Unlock()
 			return Batch{}, ErrHistoryGone
 		}
-		b := Batch{AsOf: m.revision}
+		b := Batch{AsOf: m.position()}
 		for _, e := range m.history {
 			if e.kind == k && e.change.Revision > since {
 				b.Changes = append(b.Changes, e.change)
@@ -136,8 +168,10 @@
 	}
 }
 
-func (m *fakeStore) Decode(Kind, []byte) (Record, error)           { return Record{}, errDown }
-func (m *fakeStore) Register(context.Context, roster.Member) error { return nil }
+func (m *fakeStore) Decode(Kind, []byte) (Record, error) { return Record{}, errDown }
+func (m *fakeStore) Register(context.Context, roster.Member) (Position, error) {
+	return Position{}, nil
+}
 
 func registration(id string, draining bool) Entry {
 	return Registration{Target: roster.Target{ID: ident.Target(id), Service: "s", Address: "a:1", Draining: draining}}
@@ -151,6 +185,30 @@
 	return Configuration{Table: t}
 }
 
+// at returns the position of a revision in era 0.
+func at(r ident.Revision) Position {
+	return Position{Revision: r}
+}
+
+// holds reports whether the catalog has exactly the records of the store.
+func (g *Catalog) holds(m *fakeStore) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k := range KindCount {
+		if g.asOf[k].Era != m.era || !maps.EqualFunc(g.records[k], m.records[k], sameRecord) {
+			return false
+		}
+	}
+	return true
+}
+
+// sameRecord reports whether two records of one era are the same.
+func sameRecord(a, b Record) bool {
+	return a.Revision == b.Revision
+}
+
 func sortedIDs(l []roster.Target) []string {
 	var n []string
 	for _, t := range l {
@@ -165,14 +223,16 @@
 func TestFollowerConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFakeStore()
-		c := clock.New()
+		c := clock.NewFake()
 		g := New(c, zerolog.Nop())
 		f := NewFollower(g, m, c, zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		f.Start(ctx, "test")
 		newest, shown := ident.Version(0), ident.Version(0)
-		steps := []string{"put", "delete", "version", "evacuate", "restore", "compact", "restart"}
+		steps := []string{
+			"put", "delete", "version", "evacuate", "take back", "compact", "restart", "back up", "restore from copy",
+		}
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			switch rapid.SampledFrom(steps).Draw(t, "step") {
 			case "put":
@@ -185,13 +245,21 @@
 				m.put(Configurations, "main", configuration(newest))
 			case "evacuate":
 				m.put(Evacuations, "a", Evacuation{DataCentre: "a"})
-			case "restore":
+			case "take back":
 				m.delete(Evacuations, "a")
 			case "compact":
 				m.compact()
 			case "restart":
 				f.Stop("test")
 				f.Start(ctx, "test")
+			case "back up":
+				m.backUp()
+			case "restore from copy":
+				m.restore()
+				// The operator writes again what the store has lost.
+				if newest > 0 {
+					m.put(Configurations, "main", configuration(newest))
+				}
 			}
 			if v := g.Get().Table; v != nil {
 				if v.Version < shown {
@@ -202,15 +270,16 @@
 		}
 		agree := func() bool {
 			v := g.Get()
-			return v.Complete && v.Roster.Size() == len(m.names(Targets)) &&
-				v.Roster.Evacuated("a") == (len(m.names(Evacuations)) > 0) &&
+			return v.Complete && g.holds(m) &&
 				(newest == 0 || v.Table != nil && v.Table.Version == newest)
 		}
-		for range 400 {
+		for range 1000 {
 			if agree() {
 				return
 			}
 			time.Sleep(5 * time.Millisecond)
+			c.Advance(reregisterGrace / 20)
+			g.RemoveExpired()
 		}
 		t.Fatalf("catalog still differs from the store: it has %d targets, want %v", g.Get().Roster.Size(), m.names(Targets))
 	})
@@ -223,24 +292,24 @@
 		c := clock.NewFake()
 		a, b := New(c, zerolog.Nop()), New(c, zerolog.Nop())
 		revision := ident.Revision(1)
-		a.Replace(Targets, nil, revision)
+		a.Replace(Targets, nil, at(revision))
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			revision++
 			name := fmt.Sprintf("t-%d", rapid.IntRange(0, 5).Draw(t, "n"))
 			r := Record{Name: name, Revision: revision, Entry: registration(name, false)}
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
-				a.Apply(Targets, Batch{Changes: []Change{{Record: r}}, AsOf: revision})
+				a.Apply(Targets, Batch{Changes: []Change{{Record: r}}, AsOf: at(revision)})
 			case 2:
-				a.Apply(Targets, Batch{Changes: []Change{{Record: r, Deleted: true}}, AsOf: revision})
+				a.Apply(Targets, Batch{Changes: []Change{{Record: r, Deleted: true}}, AsOf: at(revision)})
 			case 3:
-				a.Replace(Targets, []Record{r}, revision)
+				a.Replace(Targets, []Record{r}, at(revision))
 			case 4:
-				_, asOf := b.Revisions()
+				_, asOf := b.Positions()
 				b.ApplyUpdate(Targets, a.UpdateSince(Targets, asOf[Targets]))
 			}
 		}
-		_, asOf := b.Revisions()
+		_, asOf := b.Positions()
 		b.ApplyUpdate(Targets, a.UpdateSince(Targets, asOf[Targets]))
 		if x, y := sortedIDs(a.Get().Roster.All()), sortedIDs(b.Get().Roster.All()); !slices.Equal(x, y) {
 			t.Fatalf("sender has targets %v, receiver has %v", x, y)
@@ -269,14 +338,14 @@
 			c := clock.NewFake()
 			g := New(c, zerolog.Nop())
 			o := Record{Name: "t", Revision: 2, Entry: registration("t", r.draining)}
-			g.Replace(Targets, []Record{o}, 2)
+			g.Replace(Targets, []Record{o}, at(2))
 			if r.regained {
 				g.StoreRegained(reregisterGrace)
 			}
-			g.Replace(Targets, nil, 3)
+			g.Replace(Targets, nil, at(3))
 			if r.reregistered {
 				o.Revision = 4
-				g.Apply(Targets, Batch{Changes: []Change{{Record: o}}, AsOf: 4})
+				g.Apply(Targets, Batch{Changes: []Change{{Record: o}}, AsOf: at(4)})
 			}
 			c.Advance(r.wait)
 			g.RemoveExpired()
@@ -310,7 +379,11 @@
 // answer, also after a pause of batchDelay, and is never shorter than the minimum.
 func TestConfigurationWait(t *testing.T) {
 	c := clock.NewFake()
-	f := NewFollower(New(c, zerolog.Nop()), newFakeStore(), c, zerolog.Nop())
+	g := New(c, zerolog.Nop())
+	for k := range KindCount {
+		g.Replace(k, nil, at(1))
+	}
+	f := NewFollower(g, newFakeStore(), c, zerolog.Nop())
 	rows := []struct {
 		name        string
 		since, wait time.Duration
--- /dev/null
+++ b/process/catalog/era_test.go
@@ -0,0 +1,261 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+// erasModel is a store that may come back from an older copy, two readers of it and two members that know it only from
+// updates. Its messages arrive late, twice, out of order or never.
+type erasModel struct {
+	clock   *clock.Fake
+	store   *fakeStore
+	readers []*Catalog
+	members []*Catalog
+	// states holds what the store has ever shown: the revision of each target by name, for each position.
+	states map[Position]map[string]ident.Revision
+	// sent holds all messages sent so far.
+	sent []message
+}
+
+// message is an update with the changes since a position, or a digest if it has no update.
+type message struct {
+	update        *Update
+	since         Position
+	changed, asOf Position
+	sum           uint64
+}
+
+func newErasModel() *erasModel {
+	m := &erasModel{clock: clock.NewFake(), store: newFakeStore(), states: map[Position]map[string]ident.Revision{}}
+	for range 2 {
+		m.readers = append(m.readers, New(m.clock, zerolog.Nop()))
+		m.members = append(m.members, New(m.clock, zerolog.Nop()))
+	}
+	m.show()
+	return m
+}
+
+// show records the present state of the store.
+func (m *erasModel) show() {
+	s := map[string]ident.Revision{}
+	for n, r := range m.store.records[Targets] {
+		s[n] = r.Revision
+	}
+	m.states[m.store.position()] = s
+}
+
+// read lets a reader read the store: changes if it can, else a listing.
+func (m *erasModel) read(t *rapid.T, g *Catalog) {
+	_, asOf := g.Positions()
+	since := asOf[Targets]
+	if since.Known() {
+		b, err := m.store.Watch(t.Context(), Targets, since.Revision, 0)
+		if err == nil && b.AsOf.Era == since.Era {
+			g.Apply(Targets, b)
+			return
+		}
+	}
+	f := NewFollower(g, m.store, m.clock, zerolog.Nop())
+	if _, err := f.List(t.Context(), Targets, Current); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// send sends what a reader has to a member that is at the given position.
+func (m *erasModel) send(g *Catalog, since Position) {
+	u := g.UpdateSince(Targets, since)
+	changed, asOf := g.Positions()
+	if !asOf[Targets].Known() {
+		return
+	}
+	d := message{changed: changed[Targets], asOf: asOf[Targets], sum: g.Checksums()[Targets]}
+	m.sent = append(m.sent, message{update: &u, since: since}, d)
+}
+
+// receive delivers a message to a member. As in the fleet, a member that is at an earlier position than the one from
+// which an update has the changes does not apply it.
+func receive(g *Catalog, d message) {
+	if d.update == nil {
+		g.ApplyDigest(Targets, d.changed, d.sum, d.asOf)
+		return
+	}
+	if _, asOf := g.Positions(); d.update.Whole || !asOf[Targets].Before(d.since) {
+		g.ApplyUpdate(Targets, *d.update)
+	}
+}
+
+// check fails if a catalog does not show a state of the store: a mixture of two eras, or of two states of one.
+func (m *erasModel) check(t *rapid.T, g *Catalog) {
+	_, asOf := g.Positions()
+	if !asOf[Targets].Known() {
+		return
+	}
+	got := map[string]ident.Revision{}
+	for n, r := range g.records[Targets] {
+		if _, retained := g.retentionEnds[n]; !retained {
+			got[n] = r.Revision
+		}
+	}
+	if want := m.states[asOf[Targets]]; !maps.Equal(got, want) {
+		t.Fatalf("catalog at %+v holds %v, the store held %v", asOf[Targets], got, want)
+	}
+}
+
+// TestErasNeverMix makes random changes in a store that comes back from older copies, compacts its history and gives out
+// revisions again, and passes them to members in messages that are lost, delayed, duplicated and reordered. Checks that
+// no catalog ever shows anything but a state of the store, or goes back to an earlier era, and that all end on the
+// newest.
+func TestErasNeverMix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newErasModel()
+		all := append(append([]*Catalog{}, m.readers...), m.members...)
+		newest := make([]Position, len(all))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := fmt.Sprint("t-", rapid.IntRange(0, 3).Draw(t, "target"))
+			reader := m.readers[rapid.IntRange(0, 1).Draw(t, "reader")]
+			member := m.members[rapid.IntRange(0, 1).Draw(t, "member")]
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				m.store.put(Targets, name, registration(name, false))
+			case 2:
+				m.store.delete(Targets, name)
+			case 3:
+				m.store.backUp()
+			case 4:
+				m.store.restore()
+			case 5:
+				m.store.compact()
+			case 6, 7:
+				m.read(t, reader)
+			case 8:
+				_, asOf := member.Positions()
+				m.send(reader, asOf[Targets])
+			case 9:
+				if len(m.sent) > 0 {
+					receive(member, m.sent[rapid.IntRange(0, len(m.sent)-1).Draw(t, "message")])
+				}
+			}
+			m.show()
+			m.clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			for i, g := range all {
+				m.check(t, g)
+				_, asOf := g.Positions()
+				if asOf[Targets].Before(newest[i]) {
+					t.Fatalf("catalog went from %+v back to %+v", newest[i], asOf[Targets])
+				}
+				newest[i] = asOf[Targets]
+			}
+		}
+		m.settle(t, all)
+	})
+}
+
+// settle brings every catalog up to date and checks that it holds the content of the store.
+func (m *erasModel) settle(t *rapid.T, all []*Catalog) {
+	for _, g := range m.readers {
+		m.read(t, g)
+	}
+	for _, g := range m.members {
+		_, asOf := g.Positions()
+		m.sent = nil
+		m.send(m.readers[0], asOf[Targets])
+		for _, d := range m.sent {
+			receive(g, d)
+		}
+	}
+	m.clock.Advance(reregisterGrace)
+	for _, g := range all {
+		g.RemoveExpired()
+		if _, asOf := g.Positions(); asOf[Targets] != m.store.position() ||
+			!maps.EqualFunc(g.records[Targets], m.store.records[Targets], sameRecord) {
+			t.Fatalf("catalog at %+v holds %v, the store at %+v holds %v", asOf[Targets], g.records[Targets],
+				m.store.position(), m.store.records[Targets])
+		}
+	}
+}
+
+// TestCarriedOver checks what a catalog serves from when the store comes back from a copy that lacks the last changes:
+// what was leaving or taken out stays out until a write in the new era, or for carryOverTime.
+func TestCarriedOver(t *testing.T) {
+	ready := Record{Name: "t", Revision: 2, Entry: registration("t", false)}
+	draining := Record{Name: "t", Revision: 3, Entry: registration("t", true)}
+	rows := []struct {
+		name string
+		// last is the last change of the previous era that the copy lacks.
+		last Change
+		// rewritten is a change in the new era, or nil.
+		rewritten *Change
+		wait      time.Duration
+		want      int
+	}{
+		{"draining", Change{Record: draining}, nil, 0, 0},
+		{"removed", Change{Record: draining, Deleted: true}, nil, 0, 0},
+		{"removed without draining", Change{Record: ready, Deleted: true}, nil, 0, 0},
+		{"draining, written again", Change{Record: draining}, &Change{Record: draining}, 0, 0},
+		{"draining, ready in the new era", Change{Record: draining}, &Change{Record: ready}, 0, 1},
+		{"removed, registered in the new era", Change{Record: ready, Deleted: true}, &Change{Record: ready}, 0, 1},
+		{"draining, never written again", Change{Record: draining}, nil, carryOverTime, 1},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			c := clock.NewFake()
+			g := New(c, zerolog.Nop())
+			g.Replace(Targets, []Record{ready}, at(2))
+			g.Apply(Targets, Batch{Changes: []Change{r.last}, AsOf: at(4)})
+			g.Replace(Targets, []Record{ready}, Position{Era: 1, Revision: 2})
+			if r.rewritten != nil {
+				r.rewritten.Revision = 3
+				g.Apply(Targets, Batch{Changes: []Change{*r.rewritten}, AsOf: Position{Era: 1, Revision: 3}})
+			}
+			c.Advance(r.wait)
+			g.RemoveExpired()
+			if n := len(g.Get().Roster.Available("s")); n != r.want {
+				t.Errorf("%d targets available, want %d", n, r.want)
+			}
+		})
+	}
+}
+
+// TestEvacuationCarriedOver checks that a data centre stays evacuated when the store comes back from a copy without the
+// evacuation, until the operator has written and deleted it again.
+func TestEvacuationCarriedOver(t *testing.T) {
+	c := clock.NewFake()
+	g := New(c, zerolog.Nop())
+	e := Record{Name: "a", Revision: 2, Entry: Evacuation{DataCentre: "a"}}
+	g.Replace(Evacuations, []Record{e}, at(2))
+	g.Replace(Evacuations, nil, Position{Era: 1, Revision: 1})
+	if !g.Get().Roster.Evacuated("a") {
+		t.Fatal("data centre is in service after its evacuation was lost, want it evacuated")
+	}
+	g.Apply(Evacuations, Batch{Changes: []Change{{Record: e}}, AsOf: Position{Era: 1, Revision: 2}})
+	g.Apply(Evacuations, Batch{Changes: []Change{{Record: e, Deleted: true}}, AsOf: Position{Era: 1, Revision: 3}})
+	if g.Get().Roster.Evacuated("a") {
+		t.Error("data centre is evacuated after the operator took the evacuation back, want it in service")
+	}
+}
+
+// TestVersionKeptAcrossEras checks that a configuration that was in force stays in force when the store comes back from
+// a copy with an older one, until a newer one is written.
+func TestVersionKeptAcrossEras(t *testing.T) {
+	g := New(clock.NewFake(), zerolog.Nop())
+	g.Replace(Configurations, []Record{{Name: "main", Revision: 5, Entry: configuration(9)}}, at(5))
+	g.Replace(Configurations, []Record{{Name: "main", Revision: 2, Entry: configuration(4)}}, Position{Era: 1, Revision: 2})
+	if v := g.Get().Table.Version; v != 9 {
+		t.Fatalf("version %d in force, want 9", v)
+	}
+	b := Batch{Changes: []Change{{Record: Record{Name: "main", Revision: 3, Entry: configuration(11)}}}}
+	b.AsOf = Position{Era: 1, Revision: 3}
+	g.Apply(Configurations, b)
+	if v := g.Get().Table.Version; v != 11 {
+		t.Fatalf("version %d in force, want 11", v)
+	}
+}
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -44,6 +44,8 @@
 	expiryCheckInterval = 200 * time.Millisecond
 	// storeCheckInterval is how often watches that are suspended in an outage check whether the store answers again.
 	storeCheckInterval = 20 * time.Millisecond
+	// maxListingWait is how long the configuration watch waits for the listings of the other kinds.
+	maxListingWait = 500 * time.Millisecond
 	// maxWatchLag is how long the watches may lag behind the store's revision before they are restarted.
 	maxWatchLag = 500 * time.Millisecond
 )
@@ -68,6 +70,8 @@
 	confirmedAt clock.Instant
 	// restartWatches is closed to cancel the watches under way, so that each kind is watched anew.
 	restartWatches chan struct{}
+	// newestEra is the latest era of the store that has been seen in an answer.
+	newestEra ident.Era
 	// missedRevision is a revision of the store that a watch may have missed, or zero; missedFirstSeenAt is when it was
 	// first seen, and checkedRevision is the last revision for which the watches were restarted.
 	missedRevision    ident.Revision
@@ -125,11 +129,11 @@
 
 // follow lists a kind and then watches it until the context ends.
 func (f *Follower) follow(ctx context.Context, k Kind) {
-	_, asOf := f.catalog.Revisions()
+	_, asOf := f.catalog.Positions()
 	since := asOf[k]
 	for ctx.Err() == nil {
 		f.waitForStore(ctx, k)
-		if since == 0 {
+		if !since.Known() || since.Era < f.currentEra() {
 			var err error
 			if since, err = f.List(ctx, k, Current); err != nil {
 				f.recordResult(ctx, k, err)
@@ -137,47 +141,87 @@
 				continue
 			}
 			f.recordResult(ctx, k, nil)
+			if since.Era < f.currentEra() {
+				f.backOff(ctx)
+				continue
+			}
 		}
 		since = f.watch(ctx, k, since)
 	}
 }
 
-// List reads all pages of a kind into the catalog and returns the revision to watch from.
-func (f *Follower) List(ctx context.Context, k Kind, s Freshness) (ident.Revision, error) {
+// errEraChanged means that the store has come back from an older copy between two pages of a listing.
+var errEraChanged = errors.New("catalog: the store's era has changed during a listing")
+
+// List reads all pages of a kind into the catalog and returns the position to watch from. The position of a stale
+// listing is not recorded in the catalog: its content may be from before the store's current era.
+func (f *Follower) List(ctx context.Context, k Kind, s Freshness) (Position, error) {
 	var records []Record
-	var asOf ident.Revision
+	var asOf Position
 	after := ""
 	for {
 		p, err := f.listPage(ctx, k, after, s)
 		if err != nil {
-			return 0, err
+			return Position{}, err
 		}
 		// A watch from the first page's revision also returns the changes made between two pages.
-		if asOf == 0 {
+		if !asOf.Known() {
 			asOf = p.AsOf
 		}
+		if p.AsOf.Era != asOf.Era {
+			return Position{}, errEraChanged
+		}
 		records = append(records, p.Records...)
 		if !p.More || len(p.Records) == 0 {
 			break
 		}
 		after = p.Records[len(p.Records)-1].Name
 	}
+	if s == Stale {
+		f.catalog.Replace(k, records, Position{})
+		return Position{}, nil
+	}
+	f.recordEra(asOf.Era)
 	f.catalog.Replace(k, records, asOf)
 	return asOf, nil
 }
 
+// currentEra returns the latest era of the store that has been seen.
+func (f *Follower) currentEra() ident.Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newestEra
+}
+
+// recordEra records the era of an answer. A new one means that the store has come back from an older copy: all watches
+// are restarted, so that every kind is listed again.
+func (f *Follower) recordEra(e ident.Era) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e <= f.newestEra {
+		return
+	}
+	if f.newestEra != 0 {
+		f.log.Warn().Uint64("Era", uint64(e)).Msg("store came back from an older copy; listing all kinds again")
+	}
+	f.newestEra, f.missedRevision, f.checkedRevision = e, 0, 0
+	close(f.restartWatches)
+	f.restartWatches = make(chan struct{})
+}
+
 func (f *Follower) listPage(ctx context.Context, k Kind, after string, s Freshness) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return f.source.List(ctx, k, after, s)
 }
 
-// watch applies the changes of a kind until a call fails, and returns the revision to resume from; zero means that the
-// kind has to be listed again.
-func (f *Follower) watch(ctx context.Context, k Kind, since ident.Revision) ident.Revision {
+// watch applies the changes of a kind until a call fails, and returns the position to resume from; the zero value means
+// that the kind has to be listed again.
+func (f *Follower) watch(ctx context.Context, k Kind, since Position) Position {
 	wait := watchWait
 	for ctx.Err() == nil {
 		if k == Configurations {
+			f.waitForListings(ctx)
 			wait = f.configurationWait()
 		}
 		b, err := f.watchOnce(ctx, k, since, wait)
@@ -185,9 +229,13 @@
 			return since
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			f.log.Info().Str("Kind", k.String()).Uint64("Since", uint64(since)).
+			f.log.Info().Str("Kind", k.String()).Uint64("Since", uint64(since.Revision)).
 				Msg("store no longer has the changes since this revision; listing again")
-			return 0
+			return Position{}
+		}
+		if err == nil && b.AsOf.Era != since.Era {
+			f.recordEra(b.AsOf.Era)
+			return Position{}
 		}
 		f.recordResult(ctx, k, err)
 		if err != nil {
@@ -197,7 +245,7 @@
 		since = b.AsOf
 		f.catalog.Apply(k, b)
 		if k == Configurations {
-			f.checkMissedChanges(b.AsOf)
+			f.checkMissedChanges(b.AsOf.Revision)
 		}
 		if len(b.Changes) > 0 {
 			clock.Sleep(ctx, batchDelay)
@@ -219,7 +267,7 @@
 var errWatchRestarted = errors.New("catalog: watch cancelled for a restart")
 
 // watchOnce makes one watch call; it fails with errWatchRestarted when the restart channel is closed meanwhile.
-func (f *Follower) watchOnce(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error) {
+func (f *Follower) watchOnce(ctx context.Context, k Kind, since Position, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
 	f.mu.Lock()
@@ -236,7 +284,7 @@
 		case <-done:
 		}
 	}()
-	b, err := f.source.Watch(ctx, k, since, wait)
+	b, err := f.source.Watch(ctx, k, since.Revision, wait)
 	if err != nil {
 		select {
 		case <-restarted:
@@ -251,15 +299,13 @@
 // reach a newer revision within maxWatchLag, one of them has missed it, or it belongs to a kind that isn't followed:
 // the watches are restarted once for each such revision.
 func (f *Follower) checkMissedChanges(store ident.Revision) {
-	_, asOf := f.catalog.Revisions()
-	newestHeldRevision := ident.Revision(0)
-	for k, r := range asOf {
-		if Kind(k) != Configurations {
-			newestHeldRevision = max(newestHeldRevision, r)
+	changed, asOf := f.catalog.Positions()
+	newestHeldRevision := changed[Configurations].Revision
+	for k, p := range asOf {
+		if Kind(k) != Configurations && p.Era == asOf[Configurations].Era {
+			newestHeldRevision = max(newestHeldRevision, p.Revision)
 		}
 	}
-	changed, _ := f.catalog.Revisions()
-	newestHeldRevision = max(newestHeldRevision, changed[Configurations])
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
@@ -290,7 +336,10 @@
 	now := f.clock.Now()
 	if err == nil {
 		if k == Configurations {
-			f.confirmedAt, f.awaitingFirstAnswer = now, false
+			f.awaitingFirstAnswer = false
+			if f.catalog.ofOneEra() {
+				f.confirmedAt = now
+			}
 		}
 		if f.outageStart == 0 {
 			return
@@ -328,6 +377,15 @@
 	}
 }
 
+// waitForListings waits until every kind has been listed in the store's era, since no answer confirms the catalog before
+// that. It waits for maxListingWait at most.
+func (f *Follower) waitForListings(ctx context.Context) {
+	end := f.clock.Now().Add(maxListingWait)
+	for ctx.Err() == nil && !f.catalog.ofOneEra() && f.clock.Now() < end {
+		clock.Sleep(ctx, storeCheckInterval)
+	}
+}
+
 // storeAnswers reports whether the store has answered since Start and no outage is under way.
 func (f *Follower) storeAnswers() bool {
 	f.mu.Lock()
--- a/process/catalog/history.go
+++ b/process/catalog/history.go
@@ -1,28 +1,43 @@
 package catalog
 
-import (
-	"slices"
-
-	"github.com/amaranthramp/amaranthramp/ident"
-)
+import "slices"
 
 // The history of a kind is bounded by minHistoryChanges, or by historyChangesPerRecord times the number of its records
 // if that is more, so that a member a few batches behind needs no complete listing while many records change at once.
 const (
 	minHistoryChanges       = 1000
 	historyChangesPerRecord = 2
+	// maxGaps bounds the listings in the history; with more, it begins anew.
+	maxGaps = 64
 )
 
 // history holds the most recent batches of changes of one kind.
 type history struct {
-	// completeSince is the revision after which the history is complete.
-	completeSince ident.Revision
+	// completeSince is the position after which the history is complete.
+	completeSince Position
 	batches       []Batch
 	changes       int
+	// gaps are the spans between two listings, of which only the changes from end to end are known. A change that was
+	// undone within a gap is missing, so the history covers nothing that starts within one.
+	gaps []gap
+}
+
+// gap is the span between two positions, without either.
+type gap struct{ from, to Position }
+
+// addGap records a listing that replaced what was known at an earlier position.
+func (h *history) addGap(from, to Position) {
+	if !from.Before(to) {
+		return
+	}
+	h.gaps = append(h.gaps, gap{from, to})
+	if len(h.gaps) > maxGaps {
+		h.reset(to)
+	}
 }
 
 // reset empties the history after a complete listing.
-func (h *history) reset(asOf ident.Revision) {
+func (h *history) reset(asOf Position) {
 	*h = history{completeSince: asOf}
 }
 
@@ -35,16 +50,22 @@
 		h.changes -= len(h.batches[0].Changes)
 		h.batches = slices.Delete(h.batches, 0, 1)
 	}
+	h.gaps = slices.DeleteFunc(h.gaps, func(g gap) bool { return !h.completeSince.Before(g.to) })
 }
 
-// since returns the changes after a revision; it reports false if the history no longer covers them.
-func (h *history) since(r ident.Revision) ([]Change, bool) {
-	if r < h.completeSince {
+// since returns the changes after a position; it reports false if the history does not cover them.
+func (h *history) since(p Position) ([]Change, bool) {
+	if p.Era != h.completeSince.Era || p.Before(h.completeSince) {
 		return nil, false
 	}
+	for _, g := range h.gaps {
+		if g.from.Before(p) && p.Before(g.to) {
+			return nil, false
+		}
+	}
 	var l []Change
 	for _, b := range h.batches {
-		if b.AsOf > r {
+		if p.Before(b.AsOf) {
 			l = append(l, b.Changes...)
 		}
 	}
@@ -56,19 +77,21 @@
 	// Whole means that the changes are a complete listing.
 	Whole   bool
 	Changes []Change
-	AsOf    ident.Revision
+	AsOf    Position
 }
 
-// UpdateSince returns the update with the changes of a kind since a revision, or a complete listing if the history no
+// UpdateSince returns the update with the changes of a kind since a position, or a complete listing if the history no
 // longer covers them.
-func (g *Catalog) UpdateSince(k Kind, r ident.Revision) Update {
+func (g *Catalog) UpdateSince(k Kind, p Position) Update {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l, ok := g.history[k].since(r)
-	if !ok || r == 0 {
+	l, ok := g.history[k].since(p)
+	if !ok || !p.Known() {
 		l = nil
-		for _, o := range g.records[k] {
-			l = append(l, Change{Record: o})
+		for name, o := range g.records[k] {
+			if !g.isRetained(k, name) {
+				l = append(l, Change{Record: o})
+			}
 		}
 		return Update{Whole: true, Changes: l, AsOf: g.asOf[k]}
 	}
@@ -95,19 +118,33 @@
 	return g.checksums
 }
 
-// ApplyDigest applies another member's digest of a kind: the revision of the last change, the checksum of the records,
-// and the revision up to which that member is current. A catalog that has the same change, or the same records, is
-// current up to that revision too.
-func (g *Catalog) ApplyDigest(k Kind, changed ident.Revision, sum uint64, asOf ident.Revision) {
+// ApplyDigest applies another member's digest of a kind: the position of the last change, the checksum of the records,
+// and the position up to which that member is current. A catalog of the same era that has the same change, or the same
+// records, is current up to that position too.
+func (g *Catalog) ApplyDigest(k Kind, changed Position, sum uint64, asOf Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.records[k] != nil && (changed <= g.asOf[k] || sum == g.checksums[k]) {
-		g.asOf[k] = max(g.asOf[k], asOf)
+	if !g.asOf[k].Known() || asOf.Era != g.asOf[k].Era || !g.asOf[k].Before(asOf) {
+		return
+	}
+	if !g.asOf[k].Before(changed) || sum == g.checksums[k] {
+		g.asOf[k] = asOf
+	}
+}
+
+// ofOneEra reports whether every kind has been listed, all in the same era.
+func (g *Catalog) ofOneEra() bool {
+	_, asOf := g.Positions()
+	for _, p := range asOf {
+		if !p.Known() || p.Era != asOf[0].Era {
+			return false
+		}
 	}
+	return true
 }
 
-// Revisions returns the revision of the last change of each kind, and the one up to which each kind is current.
-func (g *Catalog) Revisions() (changed, asOf [KindCount]ident.Revision) {
+// Positions returns the position of the last change of each kind, and the one up to which each kind is current.
+func (g *Catalog) Positions() (changed, asOf [KindCount]Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.lastChange, g.asOf
--- a/process/catalog/history_test.go
+++ b/process/catalog/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -19,12 +20,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
 		reader, member := New(c, zerolog.Nop()), New(c, zerolog.Nop())
-		reader.Replace(Targets, nil, 1)
-		member.Replace(Targets, nil, 1)
+		reader.Replace(Targets, nil, at(1))
+		member.Replace(Targets, nil, at(1))
 		last := ident.Revision(1)
 		for r := ident.Revision(2); r < 12; r++ {
 			o := Record{Name: fmt.Sprint("t-", rapid.IntRange(0, 2).Draw(t, "name")), Revision: r}
-			b := Batch{Changes: []Change{{Record: o, Deleted: rapid.Bool().Draw(t, "deleted")}}, AsOf: r}
+			b := Batch{Changes: []Change{{Record: o, Deleted: rapid.Bool().Draw(t, "deleted")}}, AsOf: at(r)}
 			switch rapid.IntRange(0, 2).Draw(t, "who") {
 			case 0:
 				reader.Apply(Targets, b)
@@ -35,17 +36,17 @@
 				last = r
 			}
 		}
-		_, before := member.Revisions()
-		same := sameRevisions(reader.records[Targets], member.records[Targets])
-		member.ApplyDigest(Targets, last, reader.Checksums()[Targets], last+5)
-		_, after := member.Revisions()
-		want := before[Targets]
+		_, before := member.Positions()
+		same := maps.EqualFunc(reader.records[Targets], member.records[Targets], sameRecord)
+		member.ApplyDigest(Targets, at(last), reader.Checksums()[Targets], at(last+5))
+		_, after := member.Positions()
+		want := before[Targets].Revision
 		if same || want >= last {
 			want = last + 5
 		}
-		if after[Targets] != want {
+		if after[Targets] != at(want) {
 			t.Fatalf("member is current up to revision %d, want %d (same records: %t, reader's last change %d)",
-				after[Targets], want, same, last)
+				after[Targets].Revision, want, same, last)
 		}
 	})
 }
@@ -58,17 +59,17 @@
 	for i := range records {
 		l = append(l, Record{Name: fmt.Sprint("t-", i), Revision: 1})
 	}
-	g.Replace(Targets, l, 1)
+	g.Replace(Targets, l, at(1))
 	for n := range 4 {
-		b := Batch{AsOf: ident.Revision(n + 2)}
+		b := Batch{AsOf: at(ident.Revision(n + 2))}
 		for i := range batch {
 			o := l[(n*batch+i)%records]
-			o.Revision = b.AsOf
+			o.Revision = b.AsOf.Revision
 			b.Changes = append(b.Changes, Change{Record: o})
 		}
 		g.Apply(Targets, b)
 	}
-	if n := g.UpdateSince(Targets, 1); n.Whole || len(n.Changes) != 4*batch {
+	if n := g.UpdateSince(Targets, at(1)); n.Whole || len(n.Changes) != 4*batch {
 		t.Errorf("complete listing: %t with %d changes, want only the %d changes", n.Whole, len(n.Changes), 4*batch)
 	}
 }
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -78,14 +78,14 @@
 type Page struct {
 	Records []Record
 	More    bool
-	// AsOf is the store revision of the page.
-	AsOf ident.Revision
+	// AsOf is the state of the store that the page shows.
+	AsOf Position
 }
 
-// Batch holds the changes between two revisions; AsOf is the later one.
+// Batch holds the changes between two positions of one era; AsOf is the later one.
 type Batch struct {
 	Changes []Change
-	AsOf    ident.Revision
+	AsOf    Position
 }
 
 // Freshness says whether a listing may be out of date.
@@ -104,10 +104,11 @@
 type Source interface {
 	// List returns a page of the records of a kind whose names sort after the given one.
 	List(ctx context.Context, k Kind, after string, f Freshness) (Page, error)
-	// Watch waits at most the given time for changes after a revision; it fails with ErrHistoryGone if they are lost.
+	// Watch waits at most the given time for changes after a revision; it fails with ErrHistoryGone if they are lost. The
+	// changes are of the store's current era, which may be later than the one in which it had that revision.
 	Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error)
 	// Decode decodes an object as encoded in the store.
 	Decode(k Kind, raw []byte) (Record, error)
-	// Register writes the entry of a member, replacing an older one.
-	Register(ctx context.Context, m roster.Member) error
+	// Register writes the entry of a member, replacing an older one, and returns the position of the entry.
+	Register(ctx context.Context, m roster.Member) (Position, error)
 }
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -48,11 +48,11 @@
 
 // hasUnsentUpdates reports whether there are changes that no reader has sent yet.
 func (f *Fleet) hasUnsentUpdates() bool {
-	changed, _ := f.catalog.Revisions()
+	changed, _ := f.catalog.Positions()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for k := range catalog.KindCount {
-		if changed[k] > f.pushState.sentUpTo[k] {
+		if f.pushState.sentUpTo[k].Before(changed[k]) {
 			return true
 		}
 	}
@@ -77,7 +77,7 @@
 // sendDigest sends a digest to all members, with a fragment of an update unless p is nil. sent is the number of
 // datagrams that this push has sent before, which broadcast needs to limit its rate.
 func (f *Fleet) sendDigest(ctx context.Context, p *wire.Piece, sent int) {
-	changed, asOf := f.catalog.Revisions()
+	changed, asOf := f.catalog.Positions()
 	_, confirmed := f.follower.Reading()
 	d := &wire.Digest{
 		Member: string(f.self.Name), AgeMs: uint32(min(f.clock.Now().Sub(confirmed).Milliseconds(), 1<<31)), Piece: p,
@@ -85,8 +85,9 @@
 	sums := f.catalog.Checksums()
 	for k := range catalog.KindCount {
 		d.Sums = append(d.Sums, sums[k])
-		d.Changed = append(d.Changed, uint64(changed[k]))
-		d.AsOf = append(d.AsOf, uint64(asOf[k]))
+		d.Changed = append(d.Changed, uint64(changed[k].Revision))
+		d.AsOf = append(d.AsOf, uint64(asOf[k].Revision))
+		d.Eras = append(d.Eras, uint64(asOf[k].Era))
 	}
 	b, err := proto.Marshal(d)
 	if err != nil {
@@ -126,10 +127,11 @@
 	if p.GetKind() >= uint32(catalog.KindCount) {
 		return
 	}
-	_, asOf := f.catalog.Revisions()
+	_, asOf := f.catalog.Positions()
 	known := asOf[p.GetKind()]
 	b := s.add(from, p)
-	if b == nil || known < ident.Revision(p.GetFrom()) || known >= ident.Revision(p.GetAsOf()) {
+	since, until := spanOf(p)
+	if b == nil || known.Before(since) || !known.Before(until) {
 		return
 	}
 	if err := f.applyUpdate(b); err != nil {
@@ -148,19 +150,41 @@
 	return confirmed
 }
 
+// eraAt returns the era of a kind in a list of all kinds; a list without it means era 0.
+func eraAt(l []uint64, k catalog.Kind) ident.Era {
+	if int(k) >= len(l) {
+		return 0
+	}
+	return ident.Era(l[k])
+}
+
+// hasEras reports whether this VM has each kind in the era of the given positions. A reader that has not noticed yet
+// that the store came back from an older copy can't confirm the copy of a member that has.
+func (f *Fleet) hasEras(l *[catalog.KindCount]catalog.Position) bool {
+	_, asOf := f.catalog.Positions()
+	for k := range catalog.KindCount {
+		if l[k].Era != asOf[k].Era {
+			return false
+		}
+	}
+	return true
+}
+
 // handleDigest compares the revisions and checksums of a reader with those of this VM, and queues a fetch if this VM
 // lacks a change.
 func (f *Fleet) handleDigest(d *wire.Digest, from ident.Address) {
 	confirmed := f.recordReader(d)
 	p := pendingFetch{reader: from}
 	for k := range catalog.KindCount {
-		p.changed[k] = ident.Revision(d.GetChanged()[k])
-		f.catalog.ApplyDigest(k, p.changed[k], d.GetSums()[k], ident.Revision(d.GetAsOf()[k]))
+		era := eraAt(d.GetEras(), k)
+		p.changed[k] = catalog.Position{Era: era, Revision: ident.Revision(d.GetChanged()[k])}
+		asOf := catalog.Position{Era: era, Revision: ident.Revision(d.GetAsOf()[k])}
+		f.catalog.ApplyDigest(k, p.changed[k], d.GetSums()[k], asOf)
 	}
 	behind := f.isBehind(&p.changed)
 	f.mu.Lock()
 	f.markPushed(&p.changed)
-	if !behind {
+	if !behind && f.hasEras(&p.changed) {
 		f.confirmedAt = max(f.confirmedAt, confirmed)
 	}
 	f.mu.Unlock()
--- a/process/fleet/fetch.go
+++ b/process/fleet/fetch.go
@@ -65,10 +65,10 @@
 // updatesSince returns the changes of each kind since the revisions that another member has.
 func (f *Fleet) updatesSince(q *wire.Since) (*wire.News, error) {
 	a := &wire.News{}
-	changed, _ := f.catalog.Revisions()
+	changed, _ := f.catalog.Positions()
 	for k := range catalog.KindCount {
-		since := ident.Revision(q.GetAsOf()[k])
-		if since >= changed[k] && since != 0 {
+		since := catalog.Position{Era: eraAt(q.GetEras(), k), Revision: ident.Revision(q.GetAsOf()[k])}
+		if !since.Before(changed[k]) && since.Known() {
 			continue
 		}
 		b, err := f.updates.get(f.catalog, k, since)
@@ -80,17 +80,17 @@
 	return a, nil
 }
 
-// pendingFetch is a reader that has changes this VM lacks, and its revisions of the last change of each kind.
+// pendingFetch is a reader that has changes this VM lacks, and its positions of the last change of each kind.
 type pendingFetch struct {
 	reader  ident.Address
-	changed [catalog.KindCount]ident.Revision
+	changed [catalog.KindCount]catalog.Position
 }
 
 // isBehind reports whether this VM lacks a change of any kind.
-func (f *Fleet) isBehind(changed *[catalog.KindCount]ident.Revision) bool {
-	_, asOf := f.catalog.Revisions()
+func (f *Fleet) isBehind(changed *[catalog.KindCount]catalog.Position) bool {
+	_, asOf := f.catalog.Positions()
 	for k := range catalog.KindCount {
-		if changed[k] > asOf[k] {
+		if asOf[k].Before(changed[k]) {
 			return true
 		}
 	}
@@ -130,10 +130,11 @@
 		c = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(n), h)
 		conns[a] = c
 	}
-	_, asOf := f.catalog.Revisions()
+	_, asOf := f.catalog.Positions()
 	q := &wire.Since{}
-	for _, r := range asOf {
-		q.AsOf = append(q.AsOf, uint64(r))
+	for _, p := range asOf {
+		q.AsOf = append(q.AsOf, uint64(p.Revision))
+		q.Eras = append(q.Eras, uint64(p.Era))
 	}
 	p, err := protojson.Marshal(q)
 	if err != nil {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -61,8 +61,6 @@
 	minReaderTime = 3 * time.Second
 	// checkInterval is how often a member checks whether it should read the store.
 	checkInterval = 50 * time.Millisecond
-	// registerInterval is the timeout of a registration and the pause after one that failed.
-	registerInterval = time.Second
 )
 
 // readerState holds what is known of a reader from its last digest.
@@ -171,6 +169,7 @@
 func (f *Fleet) manageReading(ctx context.Context) {
 	started := f.clock.Now()
 	f.readInitialState(ctx)
+	go f.keepRegistered(ctx)
 	for ctx.Err() == nil {
 		f.startOrStopReading(ctx, started)
 		clock.Sleep(ctx, checkInterval)
@@ -189,30 +188,4 @@
 	f.mu.Lock()
 	f.existingFleet = len(f.catalog.Get().Members) > 1
 	f.mu.Unlock()
-	go f.register(ctx)
-}
-
-// register writes the registration of this VM to the store, unless the store has it already, and retries until it
-// succeeds.
-func (f *Fleet) register(ctx context.Context) {
-	for ctx.Err() == nil && !f.registered() {
-		c, cancel := context.WithTimeout(ctx, registerInterval)
-		err := f.source.Register(c, f.self)
-		cancel()
-		if err == nil {
-			f.log.Info().Msg("registered as a member")
-			return
-		}
-		f.log.Warn().Err(err).Msg("could not register as a member; retrying")
-		clock.Sleep(ctx, registerInterval)
-	}
-}
-
-func (f *Fleet) registered() bool {
-	for _, m := range f.catalog.Get().Members {
-		if m == f.self {
-			return true
-		}
-	}
-	return false
 }
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -285,3 +285,43 @@
 		return b.inForce(2) && n.fleet.ConfirmedAt() != 0
 	})
 }
+
+// TestStoreRestored checks what happens when the store comes back from a copy that lacks the last version, an evacuation
+// and all registrations of members: what was in force stays in force on every member, no version goes back, the members
+// register again within seconds, and a change in the new era is in force in time although its revision was given out
+// before.
+func TestStoreRestored(t *testing.T) {
+	b := newTestFleet(t, 0)
+	old := b.store.Copy()
+	for i := range 6 {
+		b.nodes = append(b.nodes, b.start(t, i))
+	}
+	b.waitForReaders(t)
+	b.waitForMembers(t, 5*time.Second)
+	b.putVersion2()
+	b.store.Put("evacuations", "zone-a", `{}`)
+	waitUntil(t, inForceWithin, "change and evacuation", func() bool { return b.inForce(2) && b.evacuated("zone-a") })
+	b.store.SetFaults(objects.Faults{Silent: true})
+	time.Sleep(500 * time.Millisecond)
+	b.store.Restore(old)
+	b.store.SetFaults(objects.Faults{})
+	// The registrations are written within the second in which they are spread, after the era is known everywhere.
+	waitUntil(t, 2*inForceWithin, "all members registered again", func() bool {
+		if !b.inForce(2) || !b.evacuated("zone-a") {
+			t.Fatal("a member fell back to what the copy holds")
+		}
+		return len(b.store.Names("amaranthramp-members")) == len(b.nodes)
+	})
+	b.store.Put("evacuations", "zone-a", `{}`)
+	b.store.Delete("evacuations", "zone-a")
+	b.store.Put("config", "main", `{"version":3,"hosts":[]}`)
+	waitUntil(t, inForceWithin, "change in the new era", func() bool { return b.inForce(3) })
+	waitUntil(t, inForceWithin, "data centre in service again", func() bool {
+		for _, n := range b.nodes {
+			if n.catalog.Get().Roster.Evacuated("zone-a") {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/process/fleet/push.go
+++ b/process/fleet/push.go
@@ -34,21 +34,21 @@
 	maxPushTime = 500 * time.Millisecond
 )
 
-// pushState holds, for each kind, the revision up to which this VM or another reader has sent updates to the members.
+// pushState holds, for each kind, the position up to which this VM or another reader has sent updates to the members.
 type pushState struct {
-	sentUpTo [catalog.KindCount]ident.Revision
+	sentUpTo [catalog.KindCount]catalog.Position
 }
 
 // pushUpdates sends the update of each kind to all members in datagrams. Members that lose one fetch the update.
 func (f *Fleet) pushUpdates(ctx context.Context) {
-	changed, _ := f.catalog.Revisions()
+	changed, _ := f.catalog.Positions()
 	// The kind Members goes first: in a fleet that has just started, VMs learn of their readers through them.
 	for _, k := range []catalog.Kind{catalog.Members, catalog.Configurations, catalog.Evacuations, catalog.Targets} {
 		f.mu.Lock()
 		from := f.pushState.sentUpTo[k]
-		f.pushState.sentUpTo[k] = max(from, changed[k])
+		f.pushState.sentUpTo[k] = later(from, changed[k])
 		f.mu.Unlock()
-		if from == 0 || from >= changed[k] {
+		if !from.Known() || from.Era != changed[k].Era || !from.Before(changed[k]) {
 			continue
 		}
 		b, err := f.updates.get(f.catalog, k, from)
@@ -56,7 +56,9 @@
 			f.log.Error().Err(err).Str("Kind", k.String()).Msg("could not encode update")
 			continue
 		}
-		l := split(b, &wire.Piece{Kind: uint32(k), From: uint64(from), AsOf: uint64(changed[k])})
+		l := split(b, &wire.Piece{
+			Kind: uint32(k), Era: uint64(from.Era), From: uint64(from.Revision), AsOf: uint64(changed[k].Revision),
+		})
 		bursts := len(l) * f.Members() / burstSize
 		if len(l) > maxFragments || time.Duration(bursts)*f.burstPause() > maxPushTime {
 			continue
@@ -73,20 +75,28 @@
 	l := make([]*wire.Piece, 0, n)
 	for i := range n {
 		l = append(l, &wire.Piece{
-			Kind: p.GetKind(), From: p.GetFrom(), AsOf: p.GetAsOf(), Index: uint32(i), Count: uint32(n),
+			Kind: p.GetKind(), Era: p.GetEra(), From: p.GetFrom(), AsOf: p.GetAsOf(), Index: uint32(i), Count: uint32(n),
 			Data: b[i*fragmentSize : min((i+1)*fragmentSize, len(b))],
 		})
 	}
 	return l
 }
 
-// markPushed records that another reader has sent updates up to the given revisions; the lock must be held.
-func (f *Fleet) markPushed(changed *[catalog.KindCount]ident.Revision) {
+// markPushed records that another reader has sent updates up to the given positions; the lock must be held.
+func (f *Fleet) markPushed(changed *[catalog.KindCount]catalog.Position) {
 	for k := range catalog.KindCount {
-		f.pushState.sentUpTo[k] = max(f.pushState.sentUpTo[k], changed[k])
+		f.pushState.sentUpTo[k] = later(f.pushState.sentUpTo[k], changed[k])
 	}
 }
 
+// later returns the later of two positions.
+func later(a, b catalog.Position) catalog.Position {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // burstPause returns the pause after a burst of datagrams.
 func (f *Fleet) burstPause() time.Duration {
 	if f.linkMbps <= 0 {
@@ -118,7 +128,7 @@
 // partialUpdate holds the fragments of one update that have arrived from one reader.
 type partialUpdate struct {
 	reader     ident.Address
-	from, asOf ident.Revision
+	from, asOf catalog.Position
 	fragments  [][]byte
 	missing    int
 }
@@ -150,10 +160,17 @@
 	return b
 }
 
+// spanOf returns the positions between which the update of a fragment holds the changes.
+func spanOf(p *wire.Piece) (from, asOf catalog.Position) {
+	e := ident.Era(p.GetEra())
+	return catalog.Position{Era: e, Revision: ident.Revision(p.GetFrom())},
+		catalog.Position{Era: e, Revision: ident.Revision(p.GetAsOf())}
+}
+
 // partial returns the update to which a fragment belongs. If it is new and too many are held, the oldest is dropped.
 func (r *reassembler) partial(reader ident.Address, p *wire.Piece) *partialUpdate {
 	l := r.partials[p.GetKind()]
-	from, asOf := ident.Revision(p.GetFrom()), ident.Revision(p.GetAsOf())
+	from, asOf := spanOf(p)
 	for _, a := range l {
 		if a.reader == reader && a.from == from && a.asOf == asOf {
 			return a
--- a/process/fleet/push_test.go
+++ b/process/fleet/push_test.go
@@ -60,7 +60,7 @@
 // TestUpdateRoundTrip checks that an encoded update decodes to the same content.
 func TestUpdateRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := catalog.Update{Whole: rapid.Bool().Draw(t, "whole"), AsOf: 7}
+		n := catalog.Update{Whole: rapid.Bool().Draw(t, "whole"), AsOf: catalog.Position{Era: 2, Revision: 7}}
 		for range rapid.IntRange(0, 20).Draw(t, "changes") {
 			n.Changes = append(n.Changes, catalog.Change{
 				Record: catalog.Record{
@@ -77,7 +77,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if m.GetWhole() != n.Whole || m.GetAsOf() != 7 || m.GetKeepMs() != 1000 || len(m.GetRecords()) != len(n.Changes) {
+		if m.GetWhole() != n.Whole || m.GetAsOf() != 7 || m.GetEra() != 2 || m.GetKeepMs() != 1000 || len(m.GetRecords()) != len(n.Changes) {
 			t.Fatalf("update decoded to %v, want %v", m, n)
 		}
 		for i, r := range m.GetRecords() {
--- /dev/null
+++ b/process/fleet/registration.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/process/catalog"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+const (
+	// registerTimeout is the timeout of a registration and the pause after one that failed.
+	registerTimeout = time.Second
+	// reregisterSpan is the span over which members register again whose registrations the store has lost, so that a
+	// large fleet does not overload a store that has just come back.
+	reregisterSpan = time.Second
+)
+
+// keepRegistered registers this VM in the store, unless the store has the registration already, and again whenever the
+// store has lost it. It returns when the context ends.
+func (f *Fleet) keepRegistered(ctx context.Context) {
+	registeredAt := catalog.Position{}
+	for ctx.Err() == nil {
+		changed := f.catalog.Changed()
+		if !f.isMissing(registeredAt) {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		if registeredAt.Known() {
+			f.log.Warn().Msg("store has lost the registration of this VM")
+			clock.Sleep(ctx, rand.N(reregisterSpan))
+		}
+		p, err := f.register(ctx)
+		if err != nil {
+			f.log.Warn().Err(err).Msg("could not register as a member; retrying")
+			clock.Sleep(ctx, registerTimeout)
+			continue
+		}
+		registeredAt = p
+		f.log.Info().Msg("registered as a member")
+	}
+}
+
+func (f *Fleet) register(ctx context.Context) (catalog.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	return f.source.Register(ctx, f.self)
+}
+
+// isMissing reports whether the registration of this VM, which was last written at the given position, is missing from
+// a state of the store at that position or later.
+func (f *Fleet) isMissing(registeredAt catalog.Position) bool {
+	v := f.catalog.Get()
+	for _, m := range v.Members {
+		if m == f.self {
+			return false
+		}
+	}
+	return !registeredAt.Known() || !v.Positions[catalog.Members].Before(registeredAt)
+}
--- a/process/fleet/update.go
+++ b/process/fleet/update.go
@@ -23,7 +23,7 @@
 type updateCache struct {
 	mu   sync.Mutex
 	full [catalog.KindCount]struct {
-		asOf ident.Revision
+		asOf catalog.Position
 		// retain is how long the receiver retains targets that are missing from the store after an outage.
 		retain time.Duration
 		data   []byte
@@ -35,8 +35,8 @@
 // would have to be encoded again whenever that time has changed; with it, a member may retain them this much too long.
 const retentionTolerance = 300 * time.Millisecond
 
-// get returns the encoded update of a kind since a revision.
-func (c *updateCache) get(g *catalog.Catalog, k catalog.Kind, since ident.Revision) ([]byte, error) {
+// get returns the encoded update of a kind since a position.
+func (c *updateCache) get(g *catalog.Catalog, k catalog.Kind, since catalog.Position) ([]byte, error) {
 	n := g.UpdateSince(k, since)
 	retain := g.RetainFor()
 	if !n.Whole {
@@ -57,7 +57,10 @@
 
 // encodeUpdate encodes and compresses the update of a kind.
 func encodeUpdate(k catalog.Kind, n catalog.Update, retain time.Duration) ([]byte, error) {
-	m := &wire.KindNews{Kind: uint32(k), Whole: n.Whole, AsOf: uint64(n.AsOf), KeepMs: uint32(retain.Milliseconds())}
+	m := &wire.KindNews{
+		Kind: uint32(k), Whole: n.Whole, Era: uint64(n.AsOf.Era), AsOf: uint64(n.AsOf.Revision),
+		KeepMs: uint32(retain.Milliseconds()),
+	}
 	for _, c := range n.Changes {
 		m.Records = append(m.Records, &wire.RecordNews{
 			Name: c.Name, Revision: uint64(c.Revision), Deleted: c.Deleted, Raw: c.Raw,
@@ -108,7 +111,10 @@
 		f.catalog.StoreRegained(time.Duration(m.GetKeepMs()) * time.Millisecond)
 	}
 	k := catalog.Kind(m.GetKind())
-	n := catalog.Update{Whole: m.GetWhole(), AsOf: ident.Revision(m.GetAsOf())}
+	n := catalog.Update{
+		Whole: m.GetWhole(),
+		AsOf:  catalog.Position{Era: ident.Era(m.GetEra()), Revision: ident.Revision(m.GetAsOf())},
+	}
 	for _, r := range m.GetRecords() {
 		n.Changes = append(n.Changes, f.decodeChange(k, r))
 	}
--- a/process/gateway/dump.go
+++ b/process/gateway/dump.go
@@ -11,8 +11,10 @@
 
 // Dump is the state of a gateway, as served to operators at /dump.
 type Dump struct {
-	VM        ident.VM
-	Version   ident.Version
+	VM      ident.VM
+	Version ident.Version
+	// Eras and Revisions are the states of the store up to which this VM knows each kind of object.
+	Eras      []ident.Era
 	Revisions []ident.Revision
 	Draining  bool
 	Targets   []TargetDump
@@ -37,7 +39,11 @@
 
 func (g *Gateway) dump() Dump {
 	v := g.catalog.Get()
-	d := Dump{VM: g.settings.Name, Revisions: v.Revisions[:], Draining: g.draining.Load()}
+	d := Dump{VM: g.settings.Name, Draining: g.draining.Load()}
+	for _, p := range v.Positions {
+		d.Eras = append(d.Eras, p.Era)
+		d.Revisions = append(d.Revisions, p.Revision)
+	}
 	if v.Table != nil {
 		d.Version = v.Table.Version
 	}
--- a/process/gateway/instrumented.go
+++ b/process/gateway/instrumented.go
@@ -46,10 +46,10 @@
 }
 
 // Register registers a member and counts the call.
-func (s *instrumentedSource) Register(ctx context.Context, m roster.Member) error {
-	err := s.Source.Register(ctx, m)
+func (s *instrumentedSource) Register(ctx context.Context, m roster.Member) (catalog.Position, error) {
+	p, err := s.Source.Register(ctx, m)
 	s.count("register", catalog.Members, err)
-	return err
+	return p, err
 }
 
 func (s *instrumentedSource) count(call string, k catalog.Kind, err error) {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -152,7 +152,7 @@
 			ID: ident.Target(id), Service: "book", Address: ident.Address(l.Addr().String()), DataCentre: "a", Slots: 2,
 		}}})
 	}
-	g.Replace(catalog.Targets, records, 1)
+	g.Replace(catalog.Targets, records, catalog.Position{Revision: 1})
 	set := upstream.NewSet(c, zerolog.Nop(), headers, pool.DialTCP)
 	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, func() int { return 1 }, 60, c, zerolog.Nop())
 	b := retry.NewSlidingWindow(c, 0, func() float64 { return slack }, 10*time.Second)
@@ -288,7 +288,7 @@
 	defer end()
 	n, o := table(true, 2)
 	e := catalog.Record{Name: "a", Revision: 2, Entry: catalog.Evacuation{DataCentre: "a"}}
-	g.Replace(catalog.Evacuations, []catalog.Record{e}, 2)
+	g.Replace(catalog.Evacuations, []catalog.Record{e}, catalog.Position{Revision: 2})
 	a := y.Do(context.Background(), n, o, newCall())
 	if sends, _ := f.counts(); a.Status != 503 || a.Reason != outcome.NoTarget || sends != 0 {
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -56,6 +57,8 @@
 	historyStart uint64
 	faults       Faults
 	calls        int
+	// era is how often the store has come back from a copy.
+	era uint64
 	// changed is closed and replaced at every change of objects or faults, which wakes the waiting calls.
 	changed chan struct{}
 }
@@ -111,6 +114,61 @@
 	s.wake()
 }
 
+// Copy is the content of a store at some time.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]Object
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{revision: s.revision, objects: cloneObjects(s.objects)}
+}
+
+// Restore replaces the content by an earlier copy and begins a new era. Revisions after the copy are given out again.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = c.revision, cloneObjects(c.objects)
+	s.history, s.historyStart = nil, c.revision
+	s.wake()
+}
+
+// Rewrite lets the writers of the given kinds write again what the store lost when it came back from the copy old: the
+// objects that it held in the copy last. Objects that were written since then stay.
+func (s *Store) Rewrite(old, last *Copy, kinds ...string) {
+	for _, k := range kinds {
+		for n, o := range last.objects[k] {
+			if s.revisionOf(k, n) <= old.revision {
+				s.Put(k, n, string(o.Spec))
+			}
+		}
+		for n := range old.objects[k] {
+			if _, ok := last.objects[k][n]; !ok && s.revisionOf(k, n) <= old.revision {
+				s.Delete(k, n)
+			}
+		}
+	}
+}
+
+// revisionOf returns the revision of an object; zero if there is none.
+func (s *Store) revisionOf(kind, name string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Metadata.Revision
+}
+
+func cloneObjects(m map[string]map[string]Object) map[string]map[string]Object {
+	n := map[string]map[string]Object{}
+	for k, l := range m {
+		n[k] = maps.Clone(l)
+	}
+	return n
+}
+
 // Names returns the names of the objects of a kind in alphabetical order.
 func (s *Store) Names(kind string) []string {
 	s.mu.Lock()
@@ -158,8 +216,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	f := s.faults
+	f, era := s.faults, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	if f.Silent {
 		s.waitWhileSilent(r)
 		panic(http.ErrAbortHandler)
@@ -207,6 +266,7 @@
 		More  bool     `json:"more"`
 		AsOf  uint64   `json:"as-of"`
 	}
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	a.AsOf = s.revision
 	if r.URL.Query().Get("allow-stale") != "" {
 		a.AsOf -= min(s.faults.StaleBy, a.AsOf-1)
@@ -236,7 +296,8 @@
 			AsOf   uint64  `json:"as-of"`
 		}
 		a.AsOf = s.revision
-		changed, historyGone := s.changed, since < s.historyStart
+		changed, historyGone := s.changed, since < s.historyStart || since > s.revision
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		f := s.faults
 		for _, e := range s.history {
 			if e.kind == kind && e.revision > since {
