Send a change that another reader has only announced

Cause: a VM that begins to read just before a change announces it in its digest without sending it, and the other readers took what a digest announces for sent. All members then had to fetch it. This can make TestUpdatesPushed fail beside load (8 and 11 fetches by 30 members), where more VMs begin to read; whether it was the cause there is tried next.

A reader now takes a change for sent only when a fragment of it arrives.

Ruled out: fragments that arrive after the digest that follows them; both come over one socket in order.

TestAnnouncedIsNotSent fails on the commit before.

--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -134,6 +134,7 @@
 	known := asOf[p.GetKind()]
 	b := s.add(from, p)
 	since, until := spanOf(p)
+	f.markPushed(catalog.Kind(p.GetKind()), until)
 	if b == nil || known.Before(since) || !known.Before(until) {
 		return
 	}
@@ -184,7 +185,6 @@
 		f.catalog.ApplyDigest(k, p.changed[k], d.GetSums()[k], asOf)
 	}
 	f.mu.Lock()
-	f.markPushed(&p.changed)
 	f.heard = append(f.heard[max(len(f.heard)-maxHeard+1, 0):], p)
 	if f.behindSince == 0 {
 		f.behindSince = f.clock.Now()
--- a/process/fleet/push.go
+++ b/process/fleet/push.go
@@ -90,11 +90,12 @@
 	return l
 }
 
-// markPushed records that another reader has sent updates up to the given positions; the lock must be held.
-func (f *Fleet) markPushed(changed *[catalog.KindCount]catalog.Position) {
-	for k := range catalog.KindCount {
-		f.pushState.sentUpTo[k] = later(f.pushState.sentUpTo[k], changed[k])
-	}
+// markPushed records that another reader has sent the updates of a kind up to a position. A digest does not show that:
+// a VM that has just begun to read announces changes that it has not sent.
+func (f *Fleet) markPushed(k catalog.Kind, p catalog.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pushState.sentUpTo[k] = later(f.pushState.sentUpTo[k], p)
 }
 
 // later returns the later of two positions.
--- a/process/fleet/reader_situation_test.go
+++ b/process/fleet/reader_situation_test.go
@@ -122,3 +122,30 @@
 func (undecodable) Decode(catalog.Kind, []byte) (catalog.Record, error) {
 	return catalog.Record{}, nil
 }
+
+// TestAnnouncedIsNotSent checks that a reader still sends a change that another reader has announced in a digest but not
+// sent. A VM that began to read just before a change announced it without sending it; the other readers then took it for
+// sent, and all members had to fetch it.
+func TestAnnouncedIsNotSent(t *testing.T) {
+	c := clock.NewFake()
+	g := catalog.New(c, zerolog.Nop())
+	f := catalog.NewFollower(g, nil, c, zerolog.Nop())
+	n := New(roster.Member{Name: "vm-1"}, 0, true, WarmupRateBound{}, g, f, nil, c, zerolog.Nop())
+	for k := range catalog.KindCount {
+		g.Replace(k, nil, catalog.Position{Revision: 1})
+	}
+	n.pushUpdates(t.Context())
+	d := &wire.Digest{Member: "vm-2", Changed: []uint64{1, 6, 1, 1}, AsOf: []uint64{6, 6, 6, 6}, Sums: []uint64{0, 1, 0, 0}}
+	n.handleDigest(d, "127.0.0.1:1")
+	o := catalog.Record{Name: "x", Revision: 6}
+	g.Apply(catalog.Targets, catalog.Batch{
+		Changes: []catalog.Change{{Record: o}}, AsOf: catalog.Position{Revision: 6},
+	})
+	if !n.hasUnsentUpdates() {
+		t.Error("reader takes an announced change for sent, want it to send the change")
+	}
+	n.handleFragment(&reassembler{}, &wire.Piece{Kind: 1, From: 1, AsOf: 6, Count: 1}, "127.0.0.1:1")
+	if n.hasUnsentUpdates() {
+		t.Error("reader sends a change that another reader has sent, want it not to")
+	}
+}
