--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -70,7 +70,8 @@
 // configuration. "store lost" and "store regained" log that the VM can't read the object store and that it can again.
 var stateMessages = []string{
 	"configuration read", "data centre taken out", "object is gone", "target registered", "target ejected",
-	"target trusted again", "store lost", "store regained", "reads the store", "planned stop", "gateway started",
+	"target trusted again", "target announced that it leaves", "target asked for a pause", "many objects changed",
+	"store lost", "store regained", "reads the store", "planned stop", "gateway started",
 	"log lines dropped",
 }
 
