Don't register again on a restart while the store is away

Cause: a VM that restarts in an outage can't list the members, took itself for unregistered and tried to register at full price until the store answered.

It now waits until it knows the members, from a reader or from a listing at a tenth of the price. The first start of a system registers at once, as before.

Ruled out: leaving the registration to the readers (a new VM is known to nobody).

TestRestartInOutage fails without it (3 registrations, none wanted).

--- a/process/catalog/history.go
+++ b/process/catalog/history.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// Listed reports whether a listing of the kind has been loaded.
+func (g *Catalog) Listed(k Kind) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.records[k] != nil
+}
+
 // ofOneEra reports whether every kind has been listed, all in the same era.
 func (g *Catalog) ofOneEra() bool {
 	_, asOf := g.Positions()
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 
 // node is one member of a testFleet.
 type node struct {
+	address  ident.Address
 	fleet    *fleet.Fleet
 	catalog  *catalog.Catalog
 	follower *catalog.Follower
@@ -41,12 +43,19 @@
 	nodes []*node
 	// firstStart means that the nodes start as in a system that has never run.
 	firstStart bool
+	// registrations counts the calls that register a member.
+	registrations atomic.Int32
 }
 
 func newTestFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
 	b := &testFleet{store: objects.New()}
-	b.http = httptest.NewServer(b.store)
+	b.http = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			b.registrations.Add(1)
+		}
+		b.store.ServeHTTP(w, r)
+	}))
 	t.Cleanup(b.http.Close)
 	b.store.Put("config", "main", `{"version":1,"hosts":[]}`)
 	for i := range n {
@@ -63,19 +72,24 @@
 
 func (b *testFleet) start(t *testing.T, i int) *node {
 	t.Helper()
-	a := fmt.Sprintf("127.41.0.%d:%d", i+1, firstPort+nodesStarted.Add(1))
+	return b.startAt(t, i, ident.Address(fmt.Sprintf("127.41.0.%d:%d", i+1, firstPort+nodesStarted.Add(1))))
+}
+
+// startAt starts a node at an address, where an earlier node of that name may have been.
+func (b *testFleet) startAt(t *testing.T, i int, a ident.Address) *node {
+	t.Helper()
 	c := clock.New()
 	s := platform.NewStore(ident.Address(strings.TrimPrefix(b.http.URL, "http://")), b.http.Client(), c)
 	g := catalog.New(c, zerolog.Nop())
 	f := catalog.NewFollower(g, s, c, zerolog.Nop())
 	m := roster.Member{
-		Name: ident.VM(fmt.Sprintf("vm-%d", i)), Address: ident.Address(a), DataCentre: ident.DataCentre(rune('a' + i%3)),
+		Name: ident.VM(fmt.Sprintf("vm-%d", i)), Address: a, DataCentre: ident.DataCentre(rune('a' + i%3)),
 	}
 	if i%25 == 0 {
 		m.Capacity = 2
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
+	n := &node{address: a, catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
 	n.fleet = fleet.New(m, 0, b.firstStart, fleet.WarmupRateBound{Factor: 1.5, Slack: 5}, g, f, s, c, zerolog.Nop())
 	go func() {
 		defer close(n.done)
@@ -364,3 +378,23 @@
 
 const targetSpec = `{"address":"10.0.0.1:%d","born":1,"info":{"service":"s","zone":"a","max-concurrency":2},` +
 	`"status":{"state":"ready","warmup-left-ms":0}}`
+
+// TestRestartInOutage restarts members while the store refuses all calls, and checks that none tries to register: each
+// is registered, and learns so from the members that run.
+func TestRestartInOutage(t *testing.T) {
+	b := newTestFleet(t, 6)
+	b.waitForReaders(t)
+	b.waitForMembers(t, 5*time.Second)
+	b.store.SetFaults(objects.Faults{Status: http.StatusServiceUnavailable})
+	before := b.registrations.Load()
+	for _, i := range []int{3, 4, 5} {
+		a := b.nodes[i].address
+		b.nodes[i].kill()
+		b.nodes[i] = b.startAt(t, i, a)
+	}
+	waitUntil(t, inForceWithin, "restarted members know the configuration", func() bool { return b.inForce(1) })
+	time.Sleep(time.Second)
+	if n := b.registrations.Load() - before; n > 0 {
+		t.Errorf("%d registrations of members that are registered, want none", n)
+	}
+}
--- a/process/fleet/registration.go
+++ b/process/fleet/registration.go
@@ -12,7 +12,7 @@
 const (
 	// registerTimeout is the timeout of a registration.
 	registerTimeout = time.Second
-	// minRegisterPause and maxRegisterPause bound the pause after a registration that failed, which doubles each time.
+	// minRegisterPause and maxRegisterPause bound the pause after a call that failed, which doubles each time.
 	minRegisterPause = time.Second
 	maxRegisterPause = 4 * time.Second
 	// reregisterSpan is the span over which members register again whose registrations the store has lost, so that a
@@ -23,6 +23,7 @@
 // keepRegistered registers this VM in the store, unless the store has the registration already, and again whenever the
 // store has lost it. It returns when the context ends.
 func (f *Fleet) keepRegistered(ctx context.Context) {
+	f.awaitMembers(ctx)
 	registeredAt := catalog.Position{}
 	pause := minRegisterPause
 	for ctx.Err() == nil {
@@ -50,6 +51,23 @@
 	}
 }
 
+// awaitMembers waits until this VM knows the members, from the store or from a reader. A VM that restarts while the store
+// is away is registered already in most cases, and a listing has a tenth of the price of a registration. At the first
+// start of the system no VM is registered yet.
+func (f *Fleet) awaitMembers(ctx context.Context) {
+	pause := minRegisterPause
+	for !f.firstStart && ctx.Err() == nil && !f.catalog.Listed(catalog.Members) {
+		clock.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxRegisterPause)
+		if f.catalog.Listed(catalog.Members) {
+			return
+		}
+		if _, err := f.follower.List(ctx, catalog.Members, catalog.Stale); err != nil {
+			f.log.Warn().Err(err).Msg("could not list the members; retrying")
+		}
+	}
+}
+
 func (f *Fleet) register(ctx context.Context) (catalog.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
