Tell members that come from an earlier era what was written in the new one

A member that takes the complete listing of the new era from a reader after an evacuation was written and taken back sees only its absence, and kept it for 30 s.

A complete listing now says which records were written in its era and which objects were deleted in it, as far as the history goes; either ends what the receiver has carried over.

--- a/process/catalog/era_test.go
+++ b/process/catalog/era_test.go
@@ -243,6 +243,22 @@
 	}
 }
 
+// TestListingEndsCarriedOver checks that a member that was out of touch when the era changed, and takes the complete
+// listing from a reader later, sees in it that an evacuation was written and taken back in the new era.
+func TestListingEndsCarriedOver(t *testing.T) {
+	c := clock.NewFake()
+	reader, member := New(c, zerolog.Nop()), New(c, zerolog.Nop())
+	e := Record{Name: "a", Revision: 2, Entry: Evacuation{DataCentre: "a"}}
+	member.Replace(Evacuations, []Record{e}, at(2))
+	reader.Replace(Evacuations, nil, Position{Era: 1, Revision: 1})
+	reader.Apply(Evacuations, Batch{Changes: []Change{{Record: e}}, AsOf: Position{Era: 1, Revision: 2}})
+	reader.Apply(Evacuations, Batch{Changes: []Change{{Record: e, Deleted: true}}, AsOf: Position{Era: 1, Revision: 3}})
+	member.ApplyUpdate(Evacuations, reader.UpdateSince(Evacuations, at(2)))
+	if member.Get().Roster.Evacuated("a") {
+		t.Error("data centre is evacuated after the operator took the evacuation back, want it in service")
+	}
+}
+
 // TestVersionKeptAcrossEras checks that a configuration that was in force stays in force when the store comes back from
 // a copy with an older one, until a newer one is written.
 func TestVersionKeptAcrossEras(t *testing.T) {
--- a/process/catalog/history.go
+++ b/process/catalog/history.go
@@ -87,17 +87,37 @@
 	defer g.mu.Unlock()
 	l, ok := g.history[k].since(p)
 	if !ok || !p.Known() {
-		l = nil
-		for name, o := range g.records[k] {
-			if !g.isRetained(k, name) {
-				l = append(l, Change{Record: o})
-			}
-		}
-		return Update{Whole: true, Changes: l, AsOf: g.asOf[k]}
+		return Update{Whole: true, Changes: g.listing(k), AsOf: g.asOf[k]}
 	}
 	return Update{Changes: l, AsOf: g.asOf[k]}
 }
 
+// listing returns all records of a kind that the store has, and the deletions in its present era that are still known;
+// the lock must be held. A member that comes from an earlier era needs both: what it has carried over ends with a
+// write.
+func (g *Catalog) listing(k Kind) []Change {
+	changed := map[string]Change{}
+	for _, b := range g.history[k].batches {
+		for _, c := range b.Changes {
+			changed[c.Name] = c
+		}
+	}
+	var l []Change
+	for name, o := range g.records[k] {
+		if !g.isRetained(k, name) {
+			_, inEra := changed[name]
+			l = append(l, Change{Record: o, InEra: inEra})
+		}
+	}
+	for _, c := range changed {
+		if c.Deleted {
+			c.InEra = true
+			l = append(l, c)
+		}
+	}
+	return l
+}
+
 // ApplyUpdate applies an update that another member sent; k is the kind of the records in it.
 func (g *Catalog) ApplyUpdate(k Kind, u Update) {
 	if !u.Whole {
@@ -106,9 +126,28 @@
 	}
 	records := make([]Record, 0, len(u.Changes))
 	for _, c := range u.Changes {
-		records = append(records, c.Record)
+		if !c.Deleted {
+			records = append(records, c.Record)
+		}
 	}
 	g.Replace(k, records, u.AsOf)
+	g.endCarriedOver(k, u)
+}
+
+// endCarriedOver ends what has been carried over from an earlier era for the objects that a complete listing shows to
+// have been written or deleted in its own.
+func (g *Catalog) endCarriedOver(k Kind, u Update) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.asOf[k].Era != u.AsOf.Era {
+		return
+	}
+	for _, c := range u.Changes {
+		if c.InEra {
+			g.carried.recordWrite(k, c.Name)
+		}
+	}
+	g.publish()
 }
 
 // Checksums returns a checksum of the names and revisions of the records of each kind.
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -72,6 +72,9 @@
 type Change struct {
 	Record
 	Deleted bool
+	// InEra means, in a complete listing, that the change is known to have been made in the era of the listing. Other
+	// records may have been taken over from the copy with which the era began.
+	InEra bool
 }
 
 // Page is a part of a listing, sorted by name.
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -332,9 +332,9 @@
 		return len(b.store.Names("amaranthramp-members")) == len(b.nodes)
 	})
 	b.store.Put("evacuations", "zone-a", `{}`)
-	b.store.Delete("evacuations", "zone-a")
 	b.store.Put("config", "main", `{"version":3,"hosts":[]}`)
 	waitUntil(t, inForceWithin, "change in the new era", func() bool { return b.inForce(3) })
+	b.store.Delete("evacuations", "zone-a")
 	waitUntil(t, inForceWithin, "data centre in service again", func() bool {
 		for _, n := range b.nodes {
 			if n.catalog.Get().Roster.Evacuated("zone-a") {
--- a/process/fleet/registration.go
+++ b/process/fleet/registration.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// awaitMembers waits until this VM knows the members, from the store or from a reader. A VM that restarts while the store
-// is away is registered already in most cases, and a listing has a tenth of the price of a registration. At the first
-// start of the system no VM is registered yet.
+// awaitMembers waits until this VM knows the members, from the store or from a reader. A VM that restarts while the
+// store is away is registered already in most cases, and a listing has a tenth of the price of a registration. At the
+// first start of the system no VM is registered yet.
 func (f *Fleet) awaitMembers(ctx context.Context) {
 	pause := minRegisterPause
 	for !f.firstStart && ctx.Err() == nil && !f.catalog.Listed(catalog.Members) {
--- a/process/fleet/update.go
+++ b/process/fleet/update.go
@@ -69,7 +69,7 @@
 	}
 	for _, c := range n.Changes {
 		m.Records = append(m.Records, &wire.RecordNews{
-			Name: c.Name, Revision: uint64(c.Revision), Deleted: c.Deleted, Raw: c.Raw,
+			Name: c.Name, Revision: uint64(c.Revision), Deleted: c.Deleted, InEra: c.InEra, Raw: c.Raw,
 		})
 	}
 	b, err := proto.Marshal(m)
@@ -136,5 +136,5 @@
 		c = catalog.Record{Entry: catalog.Undecodable{Err: err}}
 	}
 	c.Name, c.Revision = r.GetName(), ident.Revision(r.GetRevision())
-	return catalog.Change{Record: c, Deleted: r.GetDeleted()}
+	return catalog.Change{Record: c, Deleted: r.GetDeleted(), InEra: r.GetInEra()}
 }
