Remember more digests until a member has caught up with them

Cause, from reading: with two readers and many changes up to 16 digests come in a second, and four were remembered, a quarter of a second. A member whose fetch takes longer would not be confirmed, and would read the store itself.

Ruled out: remembering the oldest only; its change may be the one that is never caught up with in another era.

TestConfirmedAfterCatchUp, with ten more digests during the fetch, fails with four.

--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -196,8 +196,9 @@
 	}
 }
 
-// maxHeard bounds the digests that this VM remembers until it has caught up with them.
-const maxHeard = 4
+// maxHeard bounds the digests that this VM remembers until it has caught up with them: those of a few readers in the
+// time that a fetch may take.
+const maxHeard = 32
 
 // confirm records when the store last confirmed this VM's copy, by the latest digests of readers with which it has
 // caught up. It is called after each digest and each update: while objects change all the time, a copy that is current
--- a/process/fleet/reader_situation_test.go
+++ b/process/fleet/reader_situation_test.go
@@ -97,7 +97,13 @@
 	if at := n.ConfirmedAt(); at != 0 {
 		t.Fatalf("confirmed at %d while changes are missing, want never", at)
 	}
-	c.Advance(300 * time.Millisecond)
+	// The readers go on to announce changes that the fetch under way does not bring.
+	for i := range uint64(10) {
+		c.Advance(30 * time.Millisecond)
+		n.handleDigest(&wire.Digest{
+			Member: "vm-2", Changed: []uint64{5, 10 + i, 1, 9}, AsOf: []uint64{30, 30, 30, 30}, Sums: []uint64{1, 1, 1, 1},
+		}, "127.0.0.1:1")
+	}
 	for k, r := range map[catalog.Kind]ident.Revision{catalog.Configurations: 5, catalog.Targets: 6} {
 		u := catalog.Update{
 			Changes: []catalog.Change{{Record: catalog.Record{Name: "x", Revision: r}}}, AsOf: catalog.Position{Revision: 9},
