Name a pause only if all targets of a service want one

Cause, from reading: a request that had been sent to every target but one, which had asked for a pause, was told to come back after that pause, although the other targets go on serving.

Ruled out: the shortest of pause and usual delay; a caller that comes back too early is refused once more where all targets want quiet.

TestRelayPauseOfOneTarget fails before (Retry-After 60 s).

--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -169,13 +169,17 @@
 	}
 }
 
-// noTarget returns the result for a service without an eligible target. If its targets have asked for a pause, waiting
-// for one of them would outlast the wait for a target in most cases, so the request is refused at once.
+// noTarget returns the result for a service without an eligible target. If all its targets leave or have asked for a
+// pause, waiting for one of them would outlast the wait for a target in most cases, so the request is refused at once,
+// with the shortest pause.
 func (c *Chooser) noTarget(q *Query, probed int) (Choice, outcome.Reason) {
 	shortest := time.Duration(0)
 	for _, t := range c.catalog.Get().Roster.Available(q.Service.Name) {
-		d := c.upstreams.Get(t, 0).QuietFor()
-		if d > 0 && (shortest == 0 || d < shortest) {
+		u := c.upstreams.Get(t, 0)
+		if u.Accepts() {
+			return Choice{Probed: probed}, outcome.NoTarget
+		}
+		if d := u.QuietFor(); d > 0 && (shortest == 0 || d < shortest) {
 			shortest = d
 		}
 	}
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -40,6 +40,8 @@
 	succeeds behaviour = "succeeds"
 	fails    behaviour = "fails"
 	sheds    behaviour = "sheds"
+	// pauses refuses the request and asks for a pause of a minute.
+	pauses behaviour = "pauses"
 	// disconnects runs the request and closes the connection without a response.
 	disconnects behaviour = "disconnects"
 	// losesResponse runs the request and never responds. Its load report shows no running requests.
@@ -71,7 +73,7 @@
 	if len(f.script) > 0 {
 		b, f.script = f.script[0], f.script[1:]
 	}
-	if b != sheds {
+	if b != sheds && b != pauses {
 		f.runs++
 	}
 	return b
@@ -127,6 +129,9 @@
 			_, _ = n.Write([]byte("HTTP/1.1 500 Oh\r\nX-Request: " + id + "\r\nContent-Length: 2\r\n\r\nno"))
 		case sheds:
 			_, _ = n.Write([]byte("HTTP/1.1 503 Full\r\nX-Request: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		case pauses:
+			_, _ = n.Write([]byte("HTTP/1.1 503 Full\r\nX-Request: " + id + "\r\nX-Not-Run: 1\r\nRetry-After: 60\r\n" +
+				"Content-Length: 0\r\n\r\n"))
 		case disconnects:
 			return
 		case losesResponse:
@@ -317,3 +322,17 @@
 		t.Errorf("cancelled request has response body %q, want none with \"ok\"", a.Body)
 	}
 }
+
+// TestRelayPauseOfOneTarget checks that a caller is not told to wait for the pause of one target while another target
+// of the service accepts requests, even if this request may not be sent there again.
+func TestRelayPauseOfOneTarget(t *testing.T) {
+	f := &stubTargets{script: []behaviour{pauses, sheds, sheds}}
+	y, _, end := newRelay(t, f, 5)
+	defer end()
+	n, o := table(false, 4)
+	a := y.Do(context.Background(), n, o, newCall())
+	if sends, _ := f.counts(); a.Status != 503 || sends != 3 || a.RetryAfter > time.Second {
+		t.Errorf("status %d after %d sends, retry after %s, want 503 after 3, at most 1 s", a.Status, sends,
+			a.RetryAfter)
+	}
+}
