--- a/process/catalog/carried_over.go
+++ b/process/catalog/carried_over.go
@@ -8,7 +8,7 @@
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
 
-// When the store comes back from an older copy, its new era lacks the last changes of the previous one until their
+// The new era of a store that has come back from an older copy lacks the last changes of the previous one until their
 // writers write them again. A target that was leaving, or a data centre that was evacuated, must not get requests in
 // the meantime: it stays out until a write in the new era says otherwise, for at most carryOverTime.
 const (
