--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -7,7 +7,6 @@
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
-	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
@@ -23,13 +22,6 @@
 // maxDeparted bounds the targets whose notices are remembered after the end of their registration.
 const maxDeparted = 1024
 
-// incarnationKey identifies one incarnation of a target. A target that restarts under the same id gets a new Upstream,
-// because nothing known of the earlier process holds for the new one.
-type incarnationKey struct {
-	id          ident.Target
-	startedAtMs int64
-}
-
 // Set holds the upstreams of the registered targets; it is safe for concurrent use.
 type Set struct {
 	clock   clock.Clock
@@ -37,23 +29,24 @@
 	headers *exchange.Headers
 	dial    pool.Dial
 
-	mu  sync.Mutex
-	all map[incarnationKey]*Upstream
+	mu sync.Mutex
+	// all holds the upstream of each incarnation, because nothing known of one holds for the next.
+	all map[roster.Incarnation]*Upstream
 	// departed holds the notices of targets that are no longer registered, since a registration that has expired in an
 	// outage of the store can come back. departures lists their keys, oldest first.
-	departed   map[incarnationKey]notices
-	departures []incarnationKey
+	departed   map[roster.Incarnation]notices
+	departures []roster.Incarnation
 }
 
 // NewSet returns an empty set whose upstreams open connections with the given dial function.
 func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, d pool.Dial) *Set {
 	return &Set{
-		clock: c, log: l, headers: h, dial: d, all: map[incarnationKey]*Upstream{}, departed: map[incarnationKey]notices{},
+		clock: c, log: l, headers: h, dial: d, all: map[roster.Incarnation]*Upstream{}, departed: map[roster.Incarnation]notices{},
 	}
 }
 
 // noticesOf returns what is known of an incarnation from before; the lock must be held.
-func (s *Set) noticesOf(k incarnationKey) notices {
+func (s *Set) noticesOf(k roster.Incarnation) notices {
 	if u, ok := s.all[k]; ok {
 		return u.currentNotices()
 	}
@@ -65,7 +58,7 @@
 func (s *Set) Get(t roster.Target, connLimit int) *Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := incarnationKey{id: t.ID, startedAtMs: t.StartedAtMs}
+	k := t.Incarnation()
 	u, ok := s.all[k]
 	if !ok || u.Target.Address != t.Address {
 		limit := maxConnections
@@ -85,9 +78,9 @@
 func (s *Set) RetainRegistered(r *roster.Roster) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	keep := map[incarnationKey]bool{}
+	keep := map[roster.Incarnation]bool{}
 	for _, t := range r.All() {
-		keep[incarnationKey{id: t.ID, startedAtMs: t.StartedAtMs}] = true
+		keep[t.Incarnation()] = true
 	}
 	for k, u := range s.all {
 		if !keep[k] {
@@ -99,7 +92,7 @@
 }
 
 // remember keeps the notices of a target that is no longer registered; the lock must be held.
-func (s *Set) remember(k incarnationKey, n notices) {
+func (s *Set) remember(k roster.Incarnation, n notices) {
 	if _, ok := s.departed[k]; !ok && n.accepts(s.clock.Now()) {
 		return
 	} else if !ok {
--- a/process/catalog/carried_over.go
+++ b/process/catalog/carried_over.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
 // The new era of a store that has come back from an older copy lacks the last changes of the previous one until their
@@ -18,24 +19,18 @@
 	removalMemory = 30 * time.Second
 )
 
-// incarnation identifies one run of a target.
-type incarnation struct {
-	id          ident.Target
-	startedAtMs int64
-}
-
 // carriedOver holds what stays out of service across a change of the era, each with the instant until which it does.
 type carriedOver struct {
-	leaving   map[incarnation]clock.Instant
+	leaving   map[roster.Incarnation]clock.Instant
 	evacuated map[ident.DataCentre]clock.Instant
 	// removed holds when each target was removed in the current era.
-	removed map[incarnation]clock.Instant
+	removed map[roster.Incarnation]clock.Instant
 }
 
 func newCarriedOver() carriedOver {
 	return carriedOver{
-		leaving: map[incarnation]clock.Instant{}, evacuated: map[ident.DataCentre]clock.Instant{},
-		removed: map[incarnation]clock.Instant{},
+		leaving: map[roster.Incarnation]clock.Instant{}, evacuated: map[ident.DataCentre]clock.Instant{},
+		removed: map[roster.Incarnation]clock.Instant{},
 	}
 }
 
@@ -45,8 +40,8 @@
 	if !ok {
 		return
 	}
-	maps.DeleteFunc(c.removed, func(_ incarnation, at clock.Instant) bool { return now.Sub(at) >= removalMemory })
-	c.removed[incarnation{e.Target.ID, e.Target.StartedAtMs}] = now
+	maps.DeleteFunc(c.removed, func(_ roster.Incarnation, at clock.Instant) bool { return now.Sub(at) >= removalMemory })
+	c.removed[e.Target.Incarnation()] = now
 }
 
 // changeEra carries over what was out of service in the records of the previous era and is not out in the listing of
@@ -63,7 +58,7 @@
 		clear(c.removed)
 		for _, r := range old {
 			if e, ok := r.Entry.(Registration); ok && e.Target.Draining {
-				c.leaving[incarnation{e.Target.ID, e.Target.StartedAtMs}] = end
+				c.leaving[e.Target.Incarnation()] = end
 			}
 		}
 	case Evacuations:
@@ -80,7 +75,7 @@
 func (c *carriedOver) recordWrite(k Kind, name string) {
 	switch k {
 	case Targets:
-		maps.DeleteFunc(c.leaving, func(i incarnation, _ clock.Instant) bool { return string(i.id) == name })
+		maps.DeleteFunc(c.leaving, func(i roster.Incarnation, _ clock.Instant) bool { return string(i.ID) == name })
 	case Evacuations:
 		delete(c.evacuated, ident.DataCentre(name))
 	}
@@ -89,7 +84,7 @@
 // expire removes what has been carried over for carryOverTime, and reports whether there was any.
 func (c *carriedOver) expire(now clock.Instant) bool {
 	n := len(c.leaving) + len(c.evacuated)
-	maps.DeleteFunc(c.leaving, func(_ incarnation, end clock.Instant) bool { return now >= end })
+	maps.DeleteFunc(c.leaving, func(_ roster.Incarnation, end clock.Instant) bool { return now >= end })
 	maps.DeleteFunc(c.evacuated, func(_ ident.DataCentre, end clock.Instant) bool { return now >= end })
 	return len(c.leaving)+len(c.evacuated) < n
 }
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -334,7 +334,7 @@
 	var targets []roster.Target
 	for _, r := range g.records[Targets] {
 		if e, ok := r.Entry.(Registration); ok {
-			if _, leaving := g.carried.leaving[incarnation{e.Target.ID, e.Target.StartedAtMs}]; leaving {
+			if _, leaving := g.carried.leaving[e.Target.Incarnation()]; leaving {
 				e.Target.Draining = true
 			}
 			targets = append(targets, e.Target)
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -23,6 +23,17 @@
 	StartedAtMs int64
 }
 
+// Incarnation identifies one run of a target. A target that restarts under the same id is another incarnation.
+type Incarnation struct {
+	ID          ident.Target
+	StartedAtMs int64
+}
+
+// Incarnation returns the incarnation that has registered.
+func (t *Target) Incarnation() Incarnation {
+	return Incarnation{ID: t.ID, StartedAtMs: t.StartedAtMs}
+}
+
 // Member is the registration of one VM of the system.
 type Member struct {
 	Name ident.VM
