--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -41,7 +41,8 @@
 // NewSet returns an empty set whose upstreams open connections with the given dial function.
 func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, d pool.Dial) *Set {
 	return &Set{
-		clock: c, log: l, headers: h, dial: d, all: map[roster.Incarnation]*Upstream{}, departed: map[roster.Incarnation]notices{},
+		clock: c, log: l, headers: h, dial: d,
+		all: map[roster.Incarnation]*Upstream{}, departed: map[roster.Incarnation]notices{},
 	}
 }
 
