Don't let a checksum hide the end of what is carried over

A member that carries an evacuation over holds no record of it. If the evacuation is written and taken back while that member is slow, the next digest has the checksum of the member's own records, which it took for proof that it lacks nothing, so it never learned of the two writes.

While anything of a kind is carried over, equal checksums no longer stand for the changes.

TestDigestKeepsCarriedOver fails without it.

--- a/process/catalog/carried_over.go
+++ b/process/catalog/carried_over.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// holds reports whether anything of a kind is carried over.
+func (c *carriedOver) holds(k Kind) bool {
+	return k == Targets && len(c.leaving) > 0 || k == Evacuations && len(c.evacuated) > 0
+}
+
 // expire removes what has been carried over for carryOverTime, and reports whether there was any.
 func (c *carriedOver) expire(now clock.Instant) bool {
 	n := len(c.leaving) + len(c.evacuated)
--- a/process/catalog/era_test.go
+++ b/process/catalog/era_test.go
@@ -259,6 +259,27 @@
 	}
 }
 
+// TestDigestKeepsCarriedOver checks that a member that carries an evacuation over does not take a digest with the
+// checksum of its own records for proof that it lacks nothing: the evacuation may have been written and taken back.
+func TestDigestKeepsCarriedOver(t *testing.T) {
+	c := clock.NewFake()
+	reader, member := New(c, zerolog.Nop()), New(c, zerolog.Nop())
+	e := Record{Name: "a", Revision: 2, Entry: Evacuation{DataCentre: "a"}}
+	member.Replace(Evacuations, []Record{e}, at(2))
+	for _, g := range []*Catalog{reader, member} {
+		g.Replace(Evacuations, nil, Position{Era: 1, Revision: 1})
+	}
+	reader.Apply(Evacuations, Batch{Changes: []Change{{Record: e}}, AsOf: Position{Era: 1, Revision: 2}})
+	reader.Apply(Evacuations, Batch{Changes: []Change{{Record: e, Deleted: true}}, AsOf: Position{Era: 1, Revision: 3}})
+	changed, asOf := reader.Positions()
+	member.ApplyDigest(Evacuations, changed[Evacuations], reader.Checksums()[Evacuations], asOf[Evacuations])
+	_, asOf = member.Positions()
+	member.ApplyUpdate(Evacuations, reader.UpdateSince(Evacuations, asOf[Evacuations]))
+	if member.Get().Roster.Evacuated("a") {
+		t.Error("data centre is evacuated after the operator took the evacuation back, want it in service")
+	}
+}
+
 // TestVersionKeptAcrossEras checks that a configuration that was in force stays in force when the store comes back from
 // a copy with an older one, until a newer one is written.
 func TestVersionKeptAcrossEras(t *testing.T) {
--- a/process/catalog/history.go
+++ b/process/catalog/history.go
@@ -166,7 +166,8 @@
 	if !g.asOf[k].Known() || asOf.Era != g.asOf[k].Era || !g.asOf[k].Before(asOf) {
 		return
 	}
-	if !g.asOf[k].Before(changed) || sum == g.checksums[k] {
+	// The same records do not show a write that was undone, which ends what has been carried over.
+	if !g.asOf[k].Before(changed) || sum == g.checksums[k] && !g.carried.holds(k) {
 		g.asOf[k] = asOf
 	}
 }
