Export the retries that each service was allowed and denied

The counter, scraped every few seconds and reset by a restart, shows whether retries come from the share, the slack or a second process on the same VM.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -52,6 +52,7 @@
 	fleet        *fleet.Fleet
 	upstreams    *upstream.Set
 	relay        *relay.Relay
+	retries      *retry.SlidingWindow
 	registry     *prometheus.Registry
 	metrics      *metrics
 	headers      *exchange.Headers
@@ -78,7 +79,7 @@
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
 		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
-		registry: registry, headers: h, droppedLines: droppedLines,
+		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
 	y.metrics = newMetrics(y.registry, y)
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -293,6 +293,7 @@
 		{"/metrics", `amaranthramp_gateway_requests_total{outcome="done",reason="",route="read"} 1`},
 		{"/metrics", `amaranthramp_gateway_store_calls_total{call="register",kind="members",result="ok"} 1`},
 		{"/metrics", `amaranthramp_gateway_store_calls_total{call="list-stale",kind="targets",result="ok"} 1`},
+		{"/metrics", `amaranthramp_gateway_retries_total{result="allowed",service="book"} 0`},
 		{"/metrics", "amaranthramp_gateway_members 1"},
 		{"/metrics", "amaranthramp_gateway_reads_store 1"},
 		{"/metrics", "amaranthramp_gateway_store_age_seconds 0."},
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/amaranthramp/amaranthramp/request/call"
+	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
 
@@ -54,6 +55,7 @@
 		Name: "amaranthramp_gateway_log_lines_dropped_total",
 		Help: "Log lines that were dropped because the queue was full or the rate limit was reached.",
 	}, func() float64 { return float64(g.droppedLines()) })
+	r.MustRegister(&retryCollector{retries: g.retries})
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
@@ -91,3 +93,27 @@
 	m.requests.WithLabelValues(string(o.Name), string(a.Outcome), string(a.Reason)).Inc()
 	m.duration.WithLabelValues(string(o.Name)).Observe(d.Seconds())
 }
+
+// retriesDesc describes the counter of retries.
+var retriesDesc = prometheus.NewDesc("amaranthramp_gateway_retries_total",
+	"Retries by service: allowed, or denied because the service's limit was reached.", []string{"service", "result"}, nil)
+
+// retryCollector exports the counts of retries.
+type retryCollector struct {
+	retries *retry.SlidingWindow
+}
+
+// Describe sends the description of the counter.
+func (c *retryCollector) Describe(d chan<- *prometheus.Desc) {
+	d <- retriesDesc
+}
+
+// Collect sends the counts of each service.
+func (c *retryCollector) Collect(m chan<- prometheus.Metric) {
+	for _, s := range c.retries.Stats() {
+		m <- prometheus.MustNewConstMetric(
+			retriesDesc, prometheus.CounterValue, float64(s.Allowed), string(s.Service), "allowed")
+		m <- prometheus.MustNewConstMetric(
+			retriesDesc, prometheus.CounterValue, float64(s.Denied), string(s.Service), "denied")
+	}
+}
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +33,28 @@
 	current  int64
 	requests [intervalCount + 1]int
 	retries  [intervalCount + 1]int
+	// allowed and denied count the calls of Take since the start of the process.
+	allowed, denied uint64
+}
+
+// Stats counts the retries of one service since the start of the process.
+type Stats struct {
+	Service ident.Service
+	Allowed uint64
+	// Denied is the number of retries that were not made because the limit was reached.
+	Denied uint64
+}
+
+// Stats returns the counts of each service, ordered by name.
+func (w *SlidingWindow) Stats() []Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := make([]Stats, 0, len(w.services))
+	for s, c := range w.services {
+		l = append(l, Stats{Service: s, Allowed: c.allowed, Denied: c.denied})
+	}
+	slices.SortFunc(l, func(a, b Stats) int { return cmp.Compare(a.Service, b.Service) })
+	return l
 }
 
 // NewSlidingWindow returns a limit over windows of the given length; slack returns how many retries this VM may make in
@@ -64,8 +88,10 @@
 		}
 	}
 	if float64(retries+1) > float64(w.share)*float64(requests)+w.slack() {
+		c.denied++
 		return false
 	}
+	c.allowed++
 	c.retries[c.current%(intervalCount+1)]++
 	return true
 }
