--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -78,7 +78,7 @@
 	b := retry.NewSlidingWindow(c, s.Retry.Share, slack, s.Retry.Window)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
-		relay:    relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
+		relay:   relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
 		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -66,22 +66,36 @@
 		b.targets = append(b.targets, g)
 		b.register(t, g, false)
 	}
+	b.start(t, "vm-1", ident.Address(strings.TrimPrefix(h.URL, "http://")))
+	return b
+}
+
+// addGateway returns another gateway of the same fleet, with the same store and targets.
+func (b *testGateway) addGateway(t *testing.T, name ident.VM) *testGateway {
+	t.Helper()
+	a := &testGateway{store: b.store, runLog: b.runLog, targets: b.targets, done: make(chan error, 1)}
+	a.start(t, name, b.settings.StoreAddress)
+	return a
+}
+
+// start starts the gateway and waits until it is ready.
+func (b *testGateway) start(t *testing.T, name ident.VM, store ident.Address) {
+	t.Helper()
 	b.settings = &gateway.Settings{
-		Name: "vm-1", DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
+		Name: name, DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
-		StoreAddress: ident.Address(strings.TrimPrefix(h.URL, "http://")),
+		StoreAddress: store,
 		Grace:        3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second},
 		ProbeRate: 60, Memory: 200 << 20,
 	}
 	c := clock.New()
-	st := platform.NewStore(b.settings.StoreAddress, h.Client(), c)
+	st := platform.NewStore(b.settings.StoreAddress, http.DefaultClient, c)
 	g := gateway.New(b.settings, st, &platform.Headers, c, zerolog.Nop(), func() uint64 { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
 	t.Cleanup(cancel)
 	go func() { b.done <- g.Run(ctx) }()
 	b.waitUntil(t, "ready", func() bool { return b.readinessStatus() == http.StatusOK })
-	return b
 }
 
 // register writes the registration of a target to the store.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -68,9 +68,13 @@
 	work    time.Duration
 	headers *exchange.Headers
 	runLog  *RunLog
-	server  *http.Server
 	address string
 
+	mu     sync.Mutex
+	server *http.Server
+	// stopped is true once Stop was called, so that a crash is not followed by a start.
+	stopped bool
+
 	inUse   chan struct{}
 	running atomic.Int64
 	waiting atomic.Int64
@@ -84,8 +88,14 @@
 	pause atomic.Value
 	// rejected counts the requests and probes that the target has answered with a pause.
 	rejected atomic.Int64
+	// crashPath is the path of requests that crash the target; empty if none do.
+	crashPath atomic.Value
+	crashes   atomic.Int64
 }
 
+// crashDowntime is the time from a crash to the next start.
+const crashDowntime = 500 * time.Millisecond
+
 // Start starts a target on a loopback address. A run of a request takes the time work.
 func Start(id string, slots int, work time.Duration, h *exchange.Headers, r *RunLog) (*Target, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -96,11 +106,24 @@
 		ID: id, slots: slots, work: work, headers: h, runLog: r, address: l.Addr().String(),
 		inUse: make(chan struct{}, slots),
 	}
-	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Second}
-	go func() { _ = t.server.Serve(l) }()
+	t.serve(l)
 	return t, nil
 }
 
+// serve accepts connections until the target stops or crashes.
+func (t *Target) serve(l net.Listener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		_ = l.Close()
+		return
+	}
+	s := &http.Server{Handler: t, ReadHeaderTimeout: time.Second}
+	t.server = s
+	// Serve returns only at a stop or a crash.
+	go func() { _ = s.Serve(l) }()
+}
+
 // Address returns the address on which the target listens.
 func (t *Target) Address() string {
 	return t.address
@@ -108,9 +131,36 @@
 
 // Stop closes the listener and all connections at once, as a crash does.
 func (t *Target) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
 	_ = t.server.Close()
 }
 
+// CrashOn makes requests to the path crash the target, which starts again after crashDowntime.
+func (t *Target) CrashOn(path string) {
+	t.crashPath.Store(path)
+}
+
+// Crashes returns how often a request has crashed the target.
+func (t *Target) Crashes() int64 {
+	return t.crashes.Load()
+}
+
+// crash closes the listener and all connections, and starts the target again after crashDowntime.
+func (t *Target) crash() {
+	t.crashes.Add(1)
+	t.mu.Lock()
+	_ = t.server.Close()
+	t.mu.Unlock()
+	time.AfterFunc(crashDowntime, func() {
+		// If the address has been taken meanwhile, the target stays away.
+		if l, err := net.Listen("tcp", t.address); err == nil {
+			t.serve(l)
+		}
+	})
+}
+
 // Registration returns the entry with which the target registers itself.
 func (t *Target) Registration(s ident.Service, z ident.DataCentre) roster.Target {
 	return roster.Target{
@@ -161,6 +211,10 @@
 	}
 	defer t.releaseSlot()
 	t.runLog.add(id, t.ID)
+	if p, _ := t.crashPath.Load().(string); p != "" && r.URL.Path == p {
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	sleep(r.Context(), t.work)
 	switch {
 	case t.LoseAnswers.Load():
