--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -160,7 +160,11 @@
 	g.Replace(catalog.Targets, records, catalog.Position{Revision: 1})
 	set := upstream.NewSet(c, zerolog.Nop(), headers, pool.DialTCP)
 	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, func() int { return 1 }, 60, c, zerolog.Nop())
-	b := retry.NewSlidingWindow(c, 0, func() float64 { return slack }, 10*time.Second)
+	const window = 10 * time.Second
+	past := clock.NewFake()
+	b := retry.NewSlidingWindow(past, 0, func() float64 { return slack }, window)
+	// The process has run for a window already, so that it may use the slack.
+	past.Advance(window)
 	return New(g, h, b, c, zerolog.Nop()), g, func() {
 		for _, l := range listeners {
 			_ = l.Close()
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -16,12 +16,18 @@
 // SlidingWindow is a sliding-window limit: within any period of the window's length, the retries of a service may not
 // exceed a share of its requests in that period plus a fixed slack. The limit is additive: if each VM applies it to its
 // own requests with its part of the slack, it also holds for all VMs together. It is safe for concurrent use.
+//
+// A process does not know the retries of the process that ran before it on the same VM. It therefore makes no use of the
+// slack in its first window, which may contain those retries; the share needs no such delay, since each process counts
+// its own requests only.
 type SlidingWindow struct {
 	clock clock.Clock
 	share ident.Share
 	// slack returns how many retries this VM may make in a window beyond the share.
 	slack    func() float64
 	interval time.Duration
+	// slackFrom is the end of the first window of the process.
+	slackFrom clock.Instant
 
 	mu       sync.Mutex
 	services map[ident.Service]*counts
@@ -61,7 +67,8 @@
 // a window beyond the share.
 func NewSlidingWindow(c clock.Clock, share ident.Share, slack func() float64, length time.Duration) *SlidingWindow {
 	return &SlidingWindow{
-		clock: c, share: share, slack: slack, interval: length / intervalCount, services: map[ident.Service]*counts{},
+		clock: c, share: share, slack: slack, interval: length / intervalCount, slackFrom: c.Now().Add(length),
+		services: map[ident.Service]*counts{},
 	}
 }
 
@@ -87,7 +94,11 @@
 			requests += c.requests[i]
 		}
 	}
-	if float64(retries+1) > float64(w.share)*float64(requests)+w.slack() {
+	limit := float64(w.share) * float64(requests)
+	if w.clock.Now() >= w.slackFrom {
+		limit += w.slack()
+	}
+	if float64(retries+1) > limit {
 		c.denied++
 		return false
 	}
--- a/request/retry/window_test.go
+++ b/request/retry/window_test.go
@@ -51,6 +51,10 @@
 func TestWindowGrants(t *testing.T) {
 	c := clock.NewFake()
 	w := NewSlidingWindow(c, 0.2, func() float64 { return 1 }, 10*time.Second)
+	if w.Take("s") {
+		t.Error("retry granted out of the slack in the first window of the process, want none")
+	}
+	c.Advance(10 * time.Second)
 	for range 50 {
 		w.RecordFirstAttempt("s")
 	}
