Count members whose registrations the store has lost

The retry slack, the probe rate, the connections to a target and the warm-up senders are all divided by the members that a VM knows. When the store came back from a copy without the last registrations, or before the members had been read, a VM divided by fewer than there are: by one at worst, which gave it the whole slack.

Members whose registrations are lost are now carried over like targets that leave, until they register again or for 30 s; and the slack is zero until the members are known.

--- a/process/catalog/carried_over.go
+++ b/process/catalog/carried_over.go
@@ -23,12 +23,22 @@
 type carriedOver struct {
 	leaving   map[roster.Incarnation]clock.Instant
 	evacuated map[ident.DataCentre]clock.Instant
+	// members holds the VMs whose registrations the store has lost. They go on using their shares of the fleet's limits,
+	// so the others must go on counting them until they register again.
+	members map[ident.VM]carriedMember
 	// removed holds when each target was removed in the current era.
 	removed map[roster.Incarnation]clock.Instant
 }
 
+// carriedMember is a VM that is carried over until the given instant.
+type carriedMember struct {
+	member roster.Member
+	until  clock.Instant
+}
+
 func newCarriedOver() carriedOver {
 	return carriedOver{
+		members: map[ident.VM]carriedMember{},
 		leaving: map[roster.Incarnation]clock.Instant{}, evacuated: map[ident.DataCentre]clock.Instant{},
 		removed: map[roster.Incarnation]clock.Instant{},
 	}
@@ -68,6 +78,13 @@
 				c.evacuated[e.DataCentre] = end
 			}
 		}
+	case Members:
+		for name, r := range old {
+			e, ok := r.Entry.(Membership)
+			if _, still := listed[name]; ok && !still {
+				c.members[e.Member.Name] = carriedMember{member: e.Member, until: end}
+			}
+		}
 	}
 }
 
@@ -78,6 +95,8 @@
 		maps.DeleteFunc(c.leaving, func(i roster.Incarnation, _ clock.Instant) bool { return string(i.ID) == name })
 	case Evacuations:
 		delete(c.evacuated, ident.DataCentre(name))
+	case Members:
+		delete(c.members, ident.VM(name))
 	}
 }
 
@@ -88,8 +107,9 @@
 
 // expire removes what has been carried over for carryOverTime, and reports whether there was any.
 func (c *carriedOver) expire(now clock.Instant) bool {
-	n := len(c.leaving) + len(c.evacuated)
+	n := len(c.leaving) + len(c.evacuated) + len(c.members)
 	maps.DeleteFunc(c.leaving, func(_ roster.Incarnation, end clock.Instant) bool { return now >= end })
 	maps.DeleteFunc(c.evacuated, func(_ ident.DataCentre, end clock.Instant) bool { return now >= end })
-	return len(c.leaving)+len(c.evacuated) < n
+	maps.DeleteFunc(c.members, func(_ ident.VM, m carriedMember) bool { return now >= m.until })
+	return len(c.leaving)+len(c.evacuated)+len(c.members) < n
 }
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -27,6 +27,8 @@
 	// change to them.
 	Members   []roster.Member
 	MembersAt Position
+	// Unregistered holds those of Members whose registrations the store has lost by coming back from an older copy.
+	Unregistered map[ident.VM]bool
 	// Complete is true once every kind has been listed.
 	Complete bool
 }
@@ -346,6 +348,11 @@
 			v.Members = append(v.Members, e.Member)
 		}
 	}
+	v.Unregistered = map[ident.VM]bool{}
+	for name, m := range g.carried.members {
+		v.Members = append(v.Members, m.member)
+		v.Unregistered[name] = true
+	}
 	for _, r := range g.records[Evacuations] {
 		if e, ok := r.Entry.(Evacuation); ok {
 			evacuated = append(evacuated, e.DataCentre)
--- a/process/catalog/era_test.go
+++ b/process/catalog/era_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
 // erasModel is a store that may come back from an older copy, two readers of it and two members that know it only from
@@ -243,6 +244,31 @@
 	}
 }
 
+// TestLostMembersStillCount checks that VMs whose registrations the store has lost still count as members, since they
+// use their shares of the fleet's limits, until they have registered again or carryOverTime is over.
+func TestLostMembersStillCount(t *testing.T) {
+	record := func(name string, r ident.Revision) Record {
+		return Record{Name: name, Revision: r, Entry: Membership{Member: roster.Member{Name: ident.VM(name)}}}
+	}
+	newEra := func(r ident.Revision) Position { return Position{Era: 1, Revision: r} }
+	c := clock.NewFake()
+	g := New(c, zerolog.Nop())
+	g.Replace(Members, []Record{record("a", 1), record("b", 2), record("c", 3)}, at(3))
+	g.Replace(Members, []Record{record("a", 1)}, newEra(1))
+	if v := g.Get(); len(v.Members) != 3 || v.Unregistered["a"] || !v.Unregistered["b"] || !v.Unregistered["c"] {
+		t.Errorf("members %v, unregistered %v, want a, b and c, with b and c unregistered", v.Members, v.Unregistered)
+	}
+	g.Apply(Members, Batch{Changes: []Change{{Record: record("b", 2)}}, AsOf: newEra(2)})
+	if v := g.Get(); len(v.Members) != 3 || v.Unregistered["b"] {
+		t.Errorf("members %v, unregistered %v, want a, b and c, with b registered again", v.Members, v.Unregistered)
+	}
+	c.Advance(carryOverTime)
+	g.RemoveExpired()
+	if v := g.Get(); len(v.Members) != 2 {
+		t.Errorf("members %v after %s, want a and b", v.Members, carryOverTime)
+	}
+}
+
 // TestListingEndsCarriedOver checks that a member that was out of touch when the era changed, and takes the complete
 // listing from a reader later, sees in it that an evacuation was written and taken back in the new era.
 func TestListingEndsCarriedOver(t *testing.T) {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -171,6 +171,14 @@
 	return max(len(f.catalog.Get().Members), 1)
 }
 
+// Share returns this VM's equal part of an allowance of the whole fleet. It is zero until the members are known.
+func (f *Fleet) Share(allowance float64) float64 {
+	if !f.catalog.Listed(catalog.Members) {
+		return 0
+	}
+	return allowance / float64(f.Members())
+}
+
 // ServedCount returns how many fetches of other members this VM has answered.
 func (f *Fleet) ServedCount() uint64 {
 	return f.servedCount.Load()
--- a/process/fleet/registration.go
+++ b/process/fleet/registration.go
@@ -79,7 +79,7 @@
 func (f *Fleet) isMissing(registeredAt catalog.Position) bool {
 	v := f.catalog.Get()
 	for _, m := range v.Members {
-		if m == f.self {
+		if m == f.self && !v.Unregistered[m.Name] {
 			return false
 		}
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -74,7 +74,7 @@
 	bound := fleet.WarmupRateBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}
 	f := fleet.New(m, s.LinkMbps, s.FirstStart, bound, g, r, src, c, l)
 	w := warmup.New(c, f.WarmupSenders)
-	slack := func() float64 { return s.Retry.Slack / float64(f.Members()) }
+	slack := func() float64 { return f.Share(s.Retry.Slack) }
 	b := retry.NewSlidingWindow(c, s.Retry.Share, slack, s.Retry.Window)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
