Count a retry when it is sent, not when it is allowed

A retry is pending until it is written, counts all the while, and then takes its place in the window; one that is not sent is given back, which it was not before. TestRetrySentLater fails if retries are counted when they are allowed (4 in 10 s, at most 3).

--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -64,6 +64,8 @@
 	started clock.Instant
 	history rule.History
 	tried   []ident.Target
+	// retry is the retry that the current attempt is; nil for the first attempt.
+	retry *retry.Retry
 	// lastFailure is the last 5xx response of a target to the request, or nil. The caller gets it if no later attempt
 	// succeeds.
 	lastFailure *call.Answer
@@ -94,6 +96,7 @@
 func (r *Relay) runAttempts(ctx context.Context, s *requestState) call.Answer {
 	for {
 		a, again := r.attempt(ctx, s)
+		s.retry.Cancel()
 		if !again {
 			if s.lastFailure != nil && a.Outcome != outcome.Done {
 				return *s.lastFailure
@@ -118,7 +121,7 @@
 	if len(s.tried) >= max(s.route.MaxAttempts, 1) {
 		return false
 	}
-	if r.retries.Take(s.call.Service) {
+	if s.retry = r.retries.Take(s.call.Service); s.retry != nil {
 		return true
 	}
 	r.log.Info().Str("Request", string(s.call.ID)).Str("Service", string(s.call.Service)).
@@ -165,7 +168,13 @@
 	if s.call.Idempotent && len(s.tried)+1 < s.route.MaxAttempts {
 		go r.watchdog(ctx, cancel, s, h)
 	}
-	check := func() outcome.Reason { return r.checkBeforeWrite(h.Upstream, s.call) }
+	check := func() outcome.Reason {
+		reason := r.checkBeforeWrite(h.Upstream, s.call)
+		if reason == "" {
+			s.retry.Sent()
+		}
+		return reason
+	}
 	return h.Upstream.Do(ctx, h.Conn, s.call, check)
 }
 
--- a/request/retry/fleet_test.go
+++ b/request/retry/fleet_test.go
@@ -35,8 +35,11 @@
 			case k < 10:
 				fleet[i].RecordFirstAttempt("s")
 				requests = append(requests, c.Now())
-			case fleet[i].Take("s"):
-				retries = append(retries, c.Now())
+			default:
+				if r := fleet[i].Take("s"); r != nil {
+					r.Sent()
+					retries = append(retries, c.Now())
+				}
 			}
 			from := c.Now().Add(-length)
 			r, m := countSince(requests, from), countSince(retries, from)
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -39,6 +39,8 @@
 	current  int64
 	requests [intervalCount + 1]int
 	retries  [intervalCount + 1]int
+	// pending is the number of retries that are allowed but not sent yet.
+	pending int
 	// allowed and denied count the calls of Take since the start of the process.
 	allowed, denied uint64
 }
@@ -80,12 +82,19 @@
 	c.requests[c.current%(intervalCount+1)]++
 }
 
-// Take consumes one retry, or reports false if the limit is reached.
-func (w *SlidingWindow) Take(s ident.Service) bool {
+// Retry is a retry that a SlidingWindow has allowed. It must be sent or cancelled.
+type Retry struct {
+	window  *SlidingWindow
+	service ident.Service
+	ended   bool
+}
+
+// Take allows one retry, or returns nil if the limit is reached.
+func (w *SlidingWindow) Take(s ident.Service) *Retry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.advance(s)
-	requests, retries := 0, 0
+	requests, retries := 0, c.pending
 	for i := range c.retries {
 		retries += c.retries[i]
 		// The oldest interval lies only partly within the window. To keep the limit strict, its retries count in full
@@ -100,11 +109,38 @@
 	}
 	if float64(retries+1) > limit {
 		c.denied++
-		return false
+		return nil
 	}
 	c.allowed++
-	c.retries[c.current%(intervalCount+1)]++
-	return true
+	c.pending++
+	return &Retry{window: w, service: s}
+}
+
+// Sent records that the retry is sent now. It may have waited for a target since it was allowed, and occupies its place
+// in the window from now on. Only the first call of Sent or Cancel has an effect, and none on a nil retry.
+func (r *Retry) Sent() {
+	r.end(1)
+}
+
+// Cancel gives the retry back, because it has not been sent.
+func (r *Retry) Cancel() {
+	r.end(0)
+}
+
+// end ends the pending state of the retry, which has been sent n times.
+func (r *Retry) end(n int) {
+	if r == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	c := r.window.advance(r.service)
+	c.pending--
+	c.retries[c.current%(intervalCount+1)] += n
 }
 
 // advance moves the counts of a service to the current interval, clearing those that have started since the last call.
--- a/request/retry/window_test.go
+++ b/request/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -24,9 +25,11 @@
 				requests = append(requests, c.Now())
 				continue
 			}
-			if !w.Take("s") {
+			r := w.Take("s")
+			if r == nil {
 				continue
 			}
+			r.Sent()
 			retries = append(retries, c.Now())
 			from := c.Now().Add(-length)
 			n, m := countSince(requests, from), countSince(retries, from)
@@ -51,7 +54,7 @@
 func TestWindowGrants(t *testing.T) {
 	c := clock.NewFake()
 	w := NewSlidingWindow(c, 0.2, func() float64 { return 1 }, 10*time.Second)
-	if w.Take("s") {
+	if w.Take("s") != nil {
 		t.Error("retry granted out of the slack in the first window of the process, want none")
 	}
 	c.Advance(10 * time.Second)
@@ -59,13 +62,55 @@
 		w.RecordFirstAttempt("s")
 	}
 	n := 0
-	for w.Take("s") {
+	for w.Take("s") != nil {
 		n++
 	}
 	if n != 11 {
 		t.Errorf("%d retries for 50 requests, want 11", n)
 	}
-	if w.Take("other") != true || w.Take("other") {
+	if w.Take("other") == nil || w.Take("other") != nil {
 		t.Error("service without requests was granted no retry or more than one, want exactly the slack of 1")
 	}
 }
+
+// TestRetrySentLater checks, for retries that wait before they are sent, that no period of the window's length contains
+// more of them than the slack, and that those that are cancelled are not counted.
+func TestRetrySentLater(t *testing.T) {
+	const slack, length = 3.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		c := clock.NewFake()
+		w := NewSlidingWindow(c, 0, func() float64 { return slack }, length)
+		c.Advance(length)
+		var waiting []*Retry
+		var sent []clock.Instant
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			c.Advance(time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(-1, len(waiting)-1).Draw(t, "retry")
+			if i < 0 {
+				if r := w.Take("s"); r != nil {
+					waiting = append(waiting, r)
+				}
+				continue
+			}
+			if rapid.IntRange(0, 4).Draw(t, "cancelled") == 0 {
+				waiting[i].Cancel()
+			} else {
+				waiting[i].Sent()
+				sent = append(sent, c.Now())
+			}
+			waiting = slices.Delete(waiting, i, i+1)
+			if n := countSince(sent, c.Now().Add(-length)); n > slack {
+				t.Fatalf("%d retries sent in the last %s, want at most %.0f", n, length, slack)
+			}
+		}
+		for _, r := range waiting {
+			r.Cancel()
+		}
+		c.Advance(length + length/intervalCount)
+		for range int(slack) {
+			if w.Take("s") == nil {
+				t.Fatal("retry denied after all others have ended, want it allowed")
+			}
+		}
+	})
+}
