--- a/process/dispatch/dispatcher.go
+++ b/process/dispatch/dispatcher.go
@@ -79,7 +79,7 @@
 	if r != "" {
 		return withEpoch(v, call.NotRun(r))
 	}
-	f := quarantine.FingerprintOf(c)
+	f := quarantine.FingerprintOf(string(c.Service), c)
 	if d.quarantine.Quarantined(f) {
 		return withEpoch(v, call.Rejected(outcome.Quarantined, http.StatusUnprocessableEntity))
 	}
--- a/process/dispatch/dispatcher_test.go
+++ b/process/dispatch/dispatcher_test.go
@@ -84,7 +84,7 @@
 
 func newHarness(targets int) *harness {
 	b := &harness{clock: clock.NewFake(), views: view.NewHolder(), sent: map[ident.Address]int{}, result: completed}
-	b.dispatcher = New(b.views, &shard.TableCache{}, b.clock, retry.NewBudget(), quarantine.New(b.clock),
+	b.dispatcher = New(b.views, &shard.TableCache{}, b.clock, retry.NewBudget(), quarantine.New(b.clock, 2),
 		handover.NewInbox(b.clock), b,
 		func(_ *config.Service, a ident.Address) Exchanger { return fakeExchanger{b: b, a: a} })
 	b.setView(func(*view.View) {}, targets)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -42,6 +42,9 @@
 // redialDelay is the pause before the next attempt to connect to the control process.
 const redialDelay = 100 * time.Millisecond
 
+// quarantineDeaths is how many upstreams may die under a request before it is quarantined.
+const quarantineDeaths = 2
+
 // Entry is the entry process of a VM.
 type Entry struct {
 	settings    *settings.Settings
@@ -71,7 +74,7 @@
 // New returns an entry process. The incarnation must differ from that of every earlier start of the process.
 func New(s *settings.Settings, incarnation string, c clock.Clock, l zerolog.Logger) *Entry {
 	v := view.NewHolder()
-	q := quarantine.New(c)
+	q := quarantine.New(c, quarantineDeaths)
 	p := peer.NewClient(c)
 	x := dispatch.NewExchangerFactory(c, pool.DialTCP)
 	d := dispatch.New(v, &shard.TableCache{}, c, retry.NewBudget(), q, handover.NewInbox(c), p, x)
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -103,7 +103,12 @@
 			return
 		}
 		d := &wire.Digest{}
-		if err := proto.Unmarshal(b[:n], d); err != nil || len(d.GetChanged()) != int(catalog.KindCount) ||
+		err = proto.Unmarshal(b[:n], d)
+		if err == nil && d.GetQuarantine() != nil {
+			f.handleQuarantine(d.GetQuarantine(), ident.Address(d.GetAddress()))
+			continue
+		}
+		if err != nil || len(d.GetChanged()) != int(catalog.KindCount) ||
 			len(d.GetAsOf()) != int(catalog.KindCount) || len(d.GetSums()) != int(catalog.KindCount) {
 			f.log.Warn().Str("From", from.String()).Msg("received a datagram that is not a valid digest")
 			continue
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -89,6 +89,8 @@
 	source          catalog.Source
 	clock           clock.Clock
 	log             zerolog.Logger
+	// handleQuarantine gets the messages on requests that crash targets.
+	handleQuarantine func(*wire.QuarantineNews, ident.Address)
 
 	// fetchCount counts successful fetches of updates.
 	fetchCount atomic.Uint64
@@ -134,7 +136,7 @@
 ) *Fleet {
 	return &Fleet{
 		self: m, linkMbps: linkMbps, firstStart: firstStart, warmupRateBound: b, catalog: g, follower: f, source: s,
-		clock: c, log: l,
+		clock: c, log: l, handleQuarantine: func(*wire.QuarantineNews, ident.Address) {},
 		fetchQueue: ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
 		readers: map[ident.VM]readerState{},
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,10 +27,12 @@
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/process/fleet"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
+	"github.com/amaranthramp/amaranthramp/request/quarantine"
 	"github.com/amaranthramp/amaranthramp/request/relay"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/request/warmup"
 	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/wire"
 )
 
 const (
@@ -40,6 +42,9 @@
 	// memoryLimitShare is the share of the VM's memory that is set as the soft limit of the garbage collector, which runs
 	// more often near it: the heap of a reader of the store grows while many members fetch updates from it at once.
 	memoryLimitShare = 0.4
+	// quarantineDeaths is how many targets may die under a request before it is quarantined. A target that loses
+	// responses looks like one that dies, so that two in a row are no proof.
+	quarantineDeaths = 3
 )
 
 // Gateway is the load balancer process of one VM.
@@ -53,6 +58,7 @@
 	upstreams    *upstream.Set
 	relay        *relay.Relay
 	retries      *retry.SlidingWindow
+	quarantine   *quarantine.Table
 	registry     *prometheus.Registry
 	metrics      *metrics
 	headers      *exchange.Headers
@@ -76,10 +82,13 @@
 	w := warmup.New(c, f.WarmupSenders)
 	slack := func() float64 { return f.Share(s.Retry.Slack) }
 	b := retry.NewSlidingWindow(c, s.Retry.Share, slack, s.Retry.Window)
+	q := quarantine.New(c, quarantineDeaths)
+	f.HandleQuarantine(func(m *wire.QuarantineNews, from ident.Address) { q.Handle(m, from, f) })
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
-		relay:   relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, c, l),
-		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
+		relay:      relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, q, c, l),
+		quarantine: q,
+		retries:    b, registry: registry, headers: h, droppedLines: droppedLines,
 	}
 	y.registry.MustRegister(collectors.NewGoCollector())
 	y.metrics = newMetrics(y.registry, y)
@@ -126,6 +135,7 @@
 			errs <- err
 		}
 	}()
+	go g.quarantine.Gossip(background, g.fleet)
 	go g.followCatalog(background, callers)
 	go g.handleReload(background)
 	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -39,6 +39,8 @@
 	gauge("members", "VMs that this VM knows to be registered in the fleet; at least 1.", func() float64 {
 		return float64(g.fleet.Members())
 	})
+	gauge("suspect_requests", "Requests under which a target has died, including those that are quarantined.",
+		func() float64 { return float64(g.quarantine.Len()) })
 	gauge("store_age_seconds",
 		"Seconds since this VM's copy of the store was last known to be current; -1 if it never was.", g.storeAge)
 	gauge("reads_store", "Whether this VM reads the store for the others.", func() float64 {
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,10 +32,10 @@
 // Fingerprint identifies a request; it is the same for every resend.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a call.
-func FingerprintOf(c *call.Call) Fingerprint {
+// FingerprintOf returns the fingerprint of a call within a scope, such as its service or host.
+func FingerprintOf(scope string, c *call.Call) Fingerprint {
 	d := xxhash.New()
-	for _, s := range []string{string(c.Service), c.Method, c.Path} {
+	for _, s := range []string{scope, c.Method, c.Path} {
 		_, _ = d.WriteString(s + "\n")
 	}
 	_, _ = d.Write(c.Body)
@@ -43,15 +44,18 @@
 
 // Table records which requests were in flight at targets that died. It is safe for concurrent use.
 type Table struct {
-	clock      clock.Clock
+	clock clock.Clock
+	// deaths is how many different targets must die for a request to be quarantined.
+	deaths     int
 	reportWait time.Duration
 	reports    *ring.Ring[report]
 	// broadcasting is true while Broadcast sends the reports to the other members.
 	broadcasting atomic.Bool
 
-	mu       sync.Mutex
-	suspects map[Fingerprint]*suspect
-	inFlight map[attemptKey][]clock.Instant
+	mu        sync.Mutex
+	suspects  map[Fingerprint]*suspect
+	successes successes
+	inFlight  map[attemptKey][]clock.Instant
 }
 
 // report is an observation that is yet to be sent to the other members.
@@ -68,8 +72,10 @@
 
 // suspect is a request that was in flight at a target that died.
 type suspect struct {
-	// lastDeadTarget is the target whose death was counted last.
-	lastDeadTarget ident.Upstream
+	// deadTargets are the targets whose deaths were counted before the first quarantine, and firstDeath is when the first
+	// of them died.
+	deadTargets []ident.Upstream
+	firstDeath  clock.Instant
 	// countFrom is when that death was recorded or, if it led to a quarantine, when that one ends. Only attempts that
 	// began later can count again.
 	countFrom clock.Instant
@@ -78,20 +84,28 @@
 	quarantines      int
 }
 
-// New returns an empty table.
-func New(c clock.Clock) *Table {
+// New returns an empty table; deaths is how many different targets must die for a request to be quarantined.
+func New(c clock.Clock, deaths int) *Table {
 	return &Table{
-		clock: c, reportWait: maxReportWait, reports: ring.New[report](maxReports),
+		clock: c, deaths: deaths, successes: newSuccesses(), reportWait: maxReportWait, reports: ring.New[report](maxReports),
 		suspects: map[Fingerprint]*suspect{}, inFlight: map[attemptKey][]clock.Instant{},
 	}
 }
 
 // Quarantined reports whether the request is quarantined, so that it must not reach any upstream.
 func (t *Table) Quarantined(f Fingerprint) bool {
+	return t.QuarantinedFor(f) > 0
+}
+
+// QuarantinedFor returns how much longer the request is quarantined; zero if it is not.
+func (t *Table) QuarantinedFor(f Fingerprint) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.suspects[f]
-	return ok && t.clock.Now() < s.quarantinedUntil
+	if !ok {
+		return 0
+	}
+	return max(s.quarantinedUntil.Sub(t.clock.Now()), 0)
 }
 
 // Begin records that the request is about to be written to an upstream.
@@ -123,39 +137,74 @@
 	began := t.removeOldest(attemptKey{fingerprint: f, upstream: u})
 	switch v := e.(type) {
 	case outcome.Completed:
+		t.successes.record(f, t.clock.Now())
 		if _, ok := t.suspects[f]; ok {
-			delete(t.suspects, f)
-			t.reports.Replace(report{item: &wire.QuarantineItem{Fingerprint: uint64(f)}, delivered: make(chan struct{})})
+			t.clear(f)
 		}
 	case outcome.Broken:
 		if v.Reason != outcome.Reset && v.Reason != outcome.Truncated {
 			return nil
 		}
-		t.recordDeath(f, u, began)
-		r := report{delivered: make(chan struct{}), item: &wire.QuarantineItem{
+		r := newReport(&wire.QuarantineItem{
 			Fingerprint: uint64(f), Upstream: string(u), AgeMs: t.clock.Now().Sub(began).Milliseconds(),
-		}}
+		})
 		t.reports.Replace(r)
+		t.recordDeath(f, u, began)
 		return r.delivered
 	}
 	return nil
 }
 
+func newReport(i *wire.QuarantineItem) report {
+	return report{item: i, delivered: make(chan struct{})}
+}
+
+// clear removes a suspect that has succeeded, and reports that to the other members; the lock must be held.
+func (t *Table) clear(f Fingerprint) {
+	delete(t.suspects, f)
+	t.reports.Replace(newReport(&wire.QuarantineItem{Fingerprint: uint64(f)}))
+}
+
 // Apply records what another member observed.
 func (t *Table) Apply(m *wire.QuarantineNews) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, i := range m.GetItems() {
 		f := Fingerprint(i.GetFingerprint())
-		if i.GetUpstream() == "" {
+		began := t.clock.Now().Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
+		switch {
+		case i.GetQuarantinedMs() > 0:
+			t.applyQuarantine(f, i)
+		case i.GetUpstream() == "":
 			delete(t.suspects, f)
-			continue
+			t.successes.record(f, t.clock.Now())
+		default:
+			t.recordDeath(f, ident.Upstream(i.GetUpstream()), began)
 		}
-		began := t.clock.Now().Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
-		t.recordDeath(f, ident.Upstream(i.GetUpstream()), began)
 	}
 }
 
+// applyQuarantine applies a quarantine that another member has found. If the request has succeeded here since the first
+// of the deaths, it is not their cause: the quarantine is lifted everywhere.
+func (t *Table) applyQuarantine(f Fingerprint, i *wire.QuarantineItem) {
+	now := t.clock.Now()
+	firstDeath := now.Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
+	if t.successes.since(f, firstDeath) {
+		t.clear(f)
+		return
+	}
+	s, ok := t.suspects[f]
+	if !ok {
+		t.makeRoom(now)
+		s = &suspect{firstDeath: firstDeath}
+		t.suspects[f] = s
+	}
+	period := min(time.Duration(i.GetQuarantinedMs())*time.Millisecond, maxQuarantinePeriod)
+	s.quarantinedUntil = max(s.quarantinedUntil, now.Add(period))
+	s.countFrom = s.quarantinedUntil
+	s.quarantines = max(s.quarantines, int(i.GetQuarantines()))
+}
+
 // Len returns the number of suspects.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -186,19 +235,38 @@
 	}
 	if !ok {
 		t.makeRoom(now)
-		t.suspects[f] = &suspect{lastDeadTarget: u, countFrom: now}
+		t.suspects[f] = &suspect{deadTargets: []ident.Upstream{u}, firstDeath: now, countFrom: now}
 		return
 	}
 	if now < s.quarantinedUntil || began <= s.countFrom {
 		return
 	}
-	if s.quarantines == 0 && u == s.lastDeadTarget {
+	if s.quarantines == 0 {
+		if slices.Contains(s.deadTargets, u) {
+			return
+		}
+		s.deadTargets = append(s.deadTargets, u)
+		s.countFrom = now
+		if len(s.deadTargets) < t.deaths {
+			return
+		}
+	}
+	if t.successes.since(f, s.firstDeath) {
+		t.clear(f)
 		return
 	}
 	s.quarantinedUntil = now.Add(min(firstQuarantinePeriod<<s.quarantines, maxQuarantinePeriod))
 	s.countFrom = s.quarantinedUntil
-	s.lastDeadTarget = u
 	s.quarantines++
+	t.reports.Replace(newReport(s.item(f, now)))
+}
+
+// item returns the message by which other members learn of the quarantine.
+func (s *suspect) item(f Fingerprint, now clock.Instant) *wire.QuarantineItem {
+	return &wire.QuarantineItem{
+		Fingerprint: uint64(f), AgeMs: now.Sub(s.firstDeath).Milliseconds(),
+		QuarantinedMs: s.quarantinedUntil.Sub(now).Milliseconds(), Quarantines: uint32(s.quarantines),
+	}
 }
 
 // expired reports whether the suspicion period after the last counted death and after the last quarantine has passed.
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -54,7 +54,7 @@
 func TestTableMatchesLog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
-		here, there := New(c), New(c)
+		here, there := New(c, 2), New(c, 2)
 		var log []logEntry
 		open := map[ident.Upstream]clock.Instant{}
 		u := func(t *rapid.T) ident.Upstream {
@@ -155,7 +155,7 @@
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
 			c := clock.NewFake()
-			b := New(c)
+			b := New(c, 2)
 			r.do(b, c)
 			if got := b.Quarantined(1); got != r.want {
 				t.Errorf("quarantined %t, want %t", got, r.want)
@@ -175,7 +175,7 @@
 // request that is quarantined for longer.
 func TestTableIsBounded(t *testing.T) {
 	c := clock.NewFake()
-	b := New(c)
+	b := New(c, 2)
 	crash(b, c, "x")
 	crash(b, c, "y")
 	for i := range 2 * maxSuspects {
@@ -208,7 +208,7 @@
 // of the death.
 func TestEndWaitsForDelivery(t *testing.T) {
 	c := clock.NewFake()
-	here, there := New(c), New(c)
+	here, there := New(c, 2), New(c, 2)
 	m := &directMessenger{to: there}
 	here.reportWait = time.Minute
 	v := view.NewHolder()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthramp/amaranthramp/request/call"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
 	"github.com/amaranthramp/amaranthramp/request/outcome"
+	"github.com/amaranthramp/amaranthramp/request/quarantine"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/request/rule"
 	"github.com/amaranthramp/amaranthramp/version/route"
@@ -46,24 +47,29 @@
 	catalog *catalog.Catalog
 	chooser Chooser
 	retries *retry.SlidingWindow
-	latency *candidate.LatencyEstimator
-	clock   clock.Clock
-	log     zerolog.Logger
+	// quarantine refuses the requests that crash targets.
+	quarantine *quarantine.Table
+	latency    *candidate.LatencyEstimator
+	clock      clock.Clock
+	log        zerolog.Logger
 }
 
-// New returns a relay that chooses targets with h and limits retries with b.
-func New(g *catalog.Catalog, h Chooser, b *retry.SlidingWindow, c clock.Clock, l zerolog.Logger) *Relay {
-	return &Relay{catalog: g, chooser: h, retries: b, latency: candidate.NewLatencyEstimator(), clock: c, log: l}
+// New returns a relay that chooses targets with h, limits retries with b and refuses requests that q has quarantined.
+func New(
+	g *catalog.Catalog, h Chooser, b *retry.SlidingWindow, q *quarantine.Table, c clock.Clock, l zerolog.Logger,
+) *Relay {
+	return &Relay{catalog: g, chooser: h, retries: b, quarantine: q, latency: candidate.NewLatencyEstimator(), clock: c, log: l}
 }
 
 // requestState is the state of one request across its attempts.
 type requestState struct {
-	call    *call.Call
-	route   *route.Route
-	service route.Service
-	started clock.Instant
-	history rule.History
-	tried   []ident.Target
+	call        *call.Call
+	fingerprint quarantine.Fingerprint
+	route       *route.Route
+	service     route.Service
+	started     clock.Instant
+	history     rule.History
+	tried       []ident.Target
 	// retry is the retry that the current attempt is; nil for the first attempt.
 	retry *retry.Retry
 	// lastFailure is the last 5xx response of a target to the request, or nil. The caller gets it if no later attempt
@@ -81,7 +87,9 @@
 		c.Deadline = min(c.Deadline, now.Add(o.Timeout))
 	}
 	c.Service, c.Class, c.Idempotent = o.PickService(), ident.Class(o.Name), o.Idempotent
-	s := &requestState{call: c, route: o, service: t.Services[c.Service], started: now}
+	s := &requestState{
+		call: c, fingerprint: quarantine.FingerprintOf(c.Host, c), route: o, service: t.Services[c.Service], started: now,
+	}
 	r.retries.RecordFirstAttempt(c.Service)
 	a := r.runAttempts(ctx, s)
 	r.log.Info().Str("Request", string(c.ID)).Str("Route", string(o.Name)).Str("Service", string(c.Service)).
@@ -132,6 +140,11 @@
 // attempt makes one attempt and reports whether the retry rules allow another one.
 func (r *Relay) attempt(ctx context.Context, s *requestState) (call.Answer, bool) {
 	c := s.call
+	if left := r.quarantine.QuarantinedFor(s.fingerprint); left > 0 {
+		a := notRunResponse(outcome.Quarantined)
+		a.RetryAfter = left
+		return s.withOverallOutcome(a), false
+	}
 	h, reason := r.chooser.Choose(ctx, r.newQuery(s))
 	if reason != "" {
 		r.log.Info().Str("Request", string(c.ID)).Str("Service", string(c.Service)).Int("Asked", h.Probed).
@@ -169,22 +182,34 @@
 		go r.watchdog(ctx, cancel, s, h)
 	}
 	check := func() outcome.Reason {
-		reason := r.checkBeforeWrite(h.Upstream, s.call)
+		reason := r.checkBeforeWrite(h.Upstream, s)
 		if reason == "" {
 			s.retry.Sent()
 		}
 		return reason
 	}
-	return h.Upstream.Do(ctx, h.Conn, s.call, check)
+	u := ident.Upstream(h.Upstream.Target.Incarnation().String())
+	r.quarantine.Begin(s.fingerprint, u)
+	x := h.Upstream.Do(ctx, h.Conn, s.call, check)
+	r.quarantine.End(s.fingerprint, u, x.Event)
+	if left := r.quarantine.QuarantinedFor(s.fingerprint); left > 0 {
+		r.log.Warn().Str("Request", string(s.call.ID)).Str("Host", s.call.Host).Str("Path", s.call.Path).Dur("For", left).
+			Msg("request quarantined: targets died while they ran it")
+	}
+	return x
 }
 
 // checkBeforeWrite runs immediately before the first byte of a request is written, so that no request is sent to a
-// target that has begun to drain or has asked for a pause, or after the deadline. It returns the reason not to send, if
+// target that has begun to drain or has asked for a pause, after the deadline, or while the request is quarantined. It returns the reason not to send, if
 // any.
-func (r *Relay) checkBeforeWrite(u *upstream.Upstream, c *call.Call) outcome.Reason {
+func (r *Relay) checkBeforeWrite(u *upstream.Upstream, s *requestState) outcome.Reason {
+	c := s.call
 	if !r.catalog.Get().Roster.Accepts(c.Service, u.Target.ID) || !u.Accepts() {
 		return outcome.NoTarget
 	}
+	if r.quarantine.Quarantined(s.fingerprint) {
+		return outcome.Quarantined
+	}
 	if c.Deadline <= r.clock.Now() {
 		return outcome.Expired
 	}
@@ -219,12 +244,12 @@
 		s.lastFailure = &a
 		return a, true
 	}
-	return a, d.Retry && !isExpiredOrCancelled(x.Event)
+	return a, d.Retry && !isFinal(x.Event)
 }
 
-// isExpiredOrCancelled reports whether an attempt ended because the deadline passed or the caller cancelled the
-// request.
-func isExpiredOrCancelled(e outcome.Event) bool {
+// isFinal reports whether an attempt ended for a reason that another attempt would meet again: the deadline passed, the
+// caller cancelled the request, or the request is quarantined.
+func isFinal(e outcome.Event) bool {
 	var r outcome.Reason
 	switch v := e.(type) {
 	case outcome.NeverWritten:
@@ -232,7 +257,7 @@
 	case outcome.Broken:
 		r = v.Reason
 	}
-	return r == outcome.Expired || r == outcome.Cancelled
+	return r == outcome.Expired || r == outcome.Cancelled || r == outcome.Quarantined
 }
 
 // withOverallOutcome returns a response that refuses the request, with its outcome changed to unknown if an earlier
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/amaranthramp/amaranthramp/request/call"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
 	"github.com/amaranthramp/amaranthramp/request/outcome"
+	"github.com/amaranthramp/amaranthramp/request/quarantine"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/version/roster"
 	"github.com/amaranthramp/amaranthramp/version/route"
@@ -165,7 +166,7 @@
 	b := retry.NewSlidingWindow(past, 0, func() float64 { return slack }, window)
 	// The process has run for a window already, so that it may use the slack.
 	past.Advance(window)
-	return New(g, h, b, c, zerolog.Nop()), g, func() {
+	return New(g, h, b, quarantine.New(c, 3), c, zerolog.Nop()), g, func() {
 		for _, l := range listeners {
 			_ = l.Close()
 		}
@@ -303,7 +304,7 @@
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
 	}
 	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, pool.DialTCP).Get(roster.Target{ID: "i-1", Service: "book"}, 0)
-	if r := y.checkBeforeWrite(u, &call.Call{Service: "book", Deadline: 1 << 62}); r != outcome.NoTarget {
+	if r := y.checkBeforeWrite(u, &requestState{call: &call.Call{Service: "book", Deadline: 1 << 62}}); r != outcome.NoTarget {
 		t.Errorf("check before write returned %q, want no-target", r)
 	}
 }
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -29,6 +30,11 @@
 	StartedAtMs int64
 }
 
+// String returns the incarnation for use as a key.
+func (i Incarnation) String() string {
+	return string(i.ID) + "@" + strconv.FormatInt(i.StartedAtMs, 10)
+}
+
 // Incarnation returns the incarnation that has registered.
 func (t *Target) Incarnation() Incarnation {
 	return Incarnation{ID: t.ID, StartedAtMs: t.StartedAtMs}
