--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -10,16 +10,27 @@
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
 
-// intervalCount is the number of intervals that a window is divided into for counting.
-const intervalCount = 20
+const (
+	// intervalCount is the number of intervals that a window is divided into for counting.
+	intervalCount = 40
+	// ringSize is the number of intervals that are kept: those of a window and a half, and the current one, which is still
+	// being counted.
+	ringSize = intervalCount + intervalCount/2 + 1
+)
 
-// SlidingWindow is a sliding-window limit: within any period of the window's length, the retries of a service may not
-// exceed a share of its requests in that period plus a fixed slack. The limit is additive: if each VM applies it to its
-// own requests with its part of the slack, it also holds for all VMs together. It is safe for concurrent use.
+// SlidingWindow is a sliding-window limit: the retries of a service within any period of the window's length may not
+// exceed a share of its requests plus a fixed slack. The requests that count are those of the period that began half a
+// window earlier. When a retry is decided on, those that follow in its own period are not known yet, and after a burst
+// there are fewer than before.
+//
+// The limit is additive: if each VM applies it to its own requests with its part of the slack, it also holds for all VMs
+// together.
 //
 // A process does not know the retries of the process that ran before it on the same VM. It therefore makes no use of the
 // slack in its first window, which may contain those retries; the share needs no such delay, since each process counts
 // its own requests only.
+//
+// It is safe for concurrent use.
 type SlidingWindow struct {
 	clock clock.Clock
 	share ident.Share
@@ -33,12 +44,11 @@
 	services map[ident.Service]*counts
 }
 
-// counts holds two ring buffers with the requests and retries of one service: one element per interval of the window,
-// and one for the current interval, which is still being counted.
+// counts holds two ring buffers with the requests and retries of one service in each interval.
 type counts struct {
 	current  int64
-	requests [intervalCount + 1]int
-	retries  [intervalCount + 1]int
+	requests [ringSize]int
+	retries  [ringSize]int
 	// pending is the number of retries that are allowed but not sent yet.
 	pending int
 	// allowed and denied count the calls of Take since the start of the process.
@@ -79,7 +89,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.advance(s)
-	c.requests[c.current%(intervalCount+1)]++
+	c.requests[c.index(c.current)]++
 }
 
 // Retry is a retry that a SlidingWindow has allowed. It must be sent or cancelled.
@@ -94,20 +104,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.advance(s)
-	requests, retries := 0, c.pending
-	for i := range c.retries {
-		retries += c.retries[i]
-		// The oldest interval lies only partly within the window. To keep the limit strict, its retries count in full
-		// and its requests not at all.
-		if int64(i) != (c.current+1)%(intervalCount+1) {
-			requests += c.requests[i]
-		}
-	}
-	limit := float64(w.share) * float64(requests)
+	slack := 0.0
 	if w.clock.Now() >= w.slackFrom {
-		limit += w.slack()
+		slack = w.slack()
 	}
-	if float64(retries+1) > limit {
+	if !c.allows(float64(w.share), slack) {
 		c.denied++
 		return nil
 	}
@@ -140,7 +141,30 @@
 	r.ended = true
 	c := r.window.advance(r.service)
 	c.pending--
-	c.retries[c.current%(intervalCount+1)] += n
+	c.retries[c.index(c.current)] += n
+}
+
+// allows reports whether one more retry keeps the limit in each period that ends now or later: those that begin in the
+// current interval or in one of the window before it. An interval lies only partly within a period that begins or ends
+// in it; to keep the limit strict, its retries count in full and its requests not at all.
+func (c *counts) allows(share, slack float64) bool {
+	retries := c.pending + 1
+	for first := c.current; first >= c.current-intervalCount; first-- {
+		retries += c.retries[c.index(first)]
+		requests := 0
+		for i := first - intervalCount/2 + 1; i <= min(first+intervalCount/2-1, c.current); i++ {
+			requests += c.requests[c.index(i)]
+		}
+		if float64(retries) > share*float64(requests)+slack {
+			return false
+		}
+	}
+	return true
+}
+
+// index returns the index of an interval in the ring buffers.
+func (c *counts) index(interval int64) int64 {
+	return (interval%ringSize + ringSize) % ringSize
 }
 
 // advance moves the counts of a service to the current interval, clearing those that have started since the last call.
@@ -152,11 +176,11 @@
 		w.services[s] = c
 	}
 	for ; c.current < now; c.current++ {
-		if now-c.current > intervalCount {
-			c.current = now - intervalCount - 1
+		if now-c.current > ringSize {
+			c.current = now - ringSize
 		}
-		c.requests[(c.current+1)%(intervalCount+1)] = 0
-		c.retries[(c.current+1)%(intervalCount+1)] = 0
+		c.requests[c.index(c.current+1)] = 0
+		c.retries[c.index(c.current+1)] = 0
 	}
 	return c
 }
