Don't renew the warm-up rate at a restart

If most senders are killed and back within a second, a cold target gets up to twice the requests of 0.6 of its bound.

A process now waits for a gap before its first request to a cold target. TestRestartDoesNotRenewWarmupRate failed before (2 of 1 sender in a second).

--- a/request/warmup/limiter.go
+++ b/request/warmup/limiter.go
@@ -18,6 +18,7 @@
 type Limiter struct {
 	clock       clock.Clock
 	senderCount SenderCount
+	startedAt   clock.Instant
 
 	mu sync.Mutex
 	// next is the earliest time at which the next request to a target may be sent.
@@ -26,7 +27,7 @@
 
 // New returns a limiter that divides the warm-up rate of each target equally among the VMs that m counts.
 func New(c clock.Clock, m SenderCount) *Limiter {
-	return &Limiter{clock: c, senderCount: m, next: map[ident.Target]clock.Instant{}}
+	return &Limiter{clock: c, senderCount: m, startedAt: c.Now(), next: map[ident.Target]clock.Instant{}}
 }
 
 // Take reports whether this VM may send a request to the cold target now and, if so, counts it.
@@ -39,7 +40,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	if now < l.next[t.ID] {
+	// The process that ran before on this VM may have sent a request until this one started.
+	if now < max(l.next[t.ID], l.startedAt.Add(gap)) {
 		return false
 	}
 	l.next[t.ID] = now.Add(gap)
