--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -36,6 +36,8 @@
 	WarmupLeft string
 	// Leaving marks a response of a target that is about to stop.
 	Leaving string
+	// Limit names the header that holds how many requests per second, from all VMs together, the target takes.
+	Limit string
 }
 
 // Errors of a probe.
@@ -103,7 +105,7 @@
 		return Report{}, false, fmt.Errorf("read: %w", err)
 	}
 	defer func() { _ = p.Body.Close() }()
-	d.notice(p)
+	d.notice(p, fromProbe)
 	if p.Header.Get(d.headers.RequestID) != "" {
 		return Report{}, false, errWrongRequest
 	}
@@ -175,7 +177,7 @@
 		if err != nil {
 			return broken(reasonOfIOError(err)), false
 		}
-		d.notice(p)
+		d.notice(p, d.sourceOf(p))
 		n.SetReadLimit(maxBodyBytes)
 		b, err := io.ReadAll(io.LimitReader(p.Body, call.MaxBody+1))
 		_ = p.Body.Close()
@@ -197,12 +199,22 @@
 }
 
 // notice passes on the notice in a response, unless another target sent it.
-func (d *TargetClient) notice(p *http.Response) {
+func (d *TargetClient) notice(p *http.Response, s Source) {
 	i := p.Header.Get(d.headers.Incarnation)
 	if p.StatusCode == http.StatusMisdirectedRequest || i != "" && ident.Target(i) != d.target {
 		return
 	}
-	d.notify(parseNotice(d.headers, p))
+	n, err := parseNotice(d.headers, p)
+	n.Source = s
+	d.notify(n, err)
+}
+
+// sourceOf returns the source of a notice in a response to a request.
+func (d *TargetClient) sourceOf(p *http.Response) Source {
+	if p.Header.Get(d.headers.NotRun) != "" {
+		return fromRefusal
+	}
+	return fromRun
 }
 
 func (d *TargetClient) result(p *http.Response, b []byte) Result {
--- a/connection/upstream/notice.go
+++ b/connection/upstream/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
 
@@ -12,6 +13,11 @@
 	leaving bool
 	// quietUntil is until when the target wants no requests from this VM.
 	quietUntil clock.Instant
+	// limit is how many requests the target takes from all VMs together, if limited is true. limitInProbes means that
+	// responses to probes name it too.
+	limit         ident.Rate
+	limited       bool
+	limitInProbes bool
 }
 
 // record returns the notices after one more response of the target. A shorter pause does not end a longer one early.
@@ -20,6 +26,13 @@
 	if r.QuietFor > 0 {
 		n.quietUntil = max(n.quietUntil, now.Add(r.QuietFor))
 	}
+	switch {
+	case r.Limited:
+		n.limit, n.limited = r.Limit, true
+		n.limitInProbes = n.limitInProbes || r.FromProbe()
+	case r.EndsLimit(n.limitInProbes):
+		n.limit, n.limited = 0, false
+	}
 	return n
 }
 
--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -94,7 +94,7 @@
 
 // remember keeps the notices of a target that is no longer registered; the lock must be held.
 func (s *Set) remember(k roster.Incarnation, n notices) {
-	if _, ok := s.departed[k]; !ok && n.accepts(s.clock.Now()) {
+	if _, ok := s.departed[k]; !ok && !n.limited && n.accepts(s.clock.Now()) {
 		return
 	} else if !ok {
 		s.departures = append(s.departures, k)
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/request/call"
 	"github.com/amaranthramp/amaranthramp/request/outcome"
@@ -130,6 +131,13 @@
 	return max(u.notices.quietUntil.Sub(u.clock.Now()), 0)
 }
 
+// Limit returns how many requests the target takes from all VMs together; ok is false if it names no limit.
+func (u *Upstream) Limit() (r ident.Rate, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices.limit, u.notices.limited
+}
+
 // Leaving reports whether the target has announced that it leaves.
 func (u *Upstream) Leaving() bool {
 	u.mu.Lock()
@@ -157,6 +165,10 @@
 		l.Msg("target announced that it leaves")
 	case n.QuietFor > 0:
 		l.Dur("Pause", n.QuietFor).Msg("target asked for a pause")
+	case u.notices.limited && (!before.limited || before.limit != u.notices.limit):
+		l.Float64("Limit", float64(u.notices.limit)).Bool("Probe", n.FromProbe()).Msg("target named a limit")
+	case before.limited && !u.notices.limited:
+		l.Bool("Probe", n.FromProbe()).Msg("target no longer names a limit")
 	}
 }
 
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -71,6 +71,9 @@
 // Share is a fraction between 0 and 1.
 type Share float64
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // Bytes is a number of bytes.
 type Bytes int64
 
--- a/process/gateway/dump.go
+++ b/process/gateway/dump.go
@@ -33,6 +33,9 @@
 	// Running and Waiting are the numbers of requests that the target runs and queues, from all VMs, as it last reported.
 	Running int
 	Waiting int
+	// Limit is how many requests per second the target takes from all VMs together, if Limited is true.
+	Limit   ident.Rate
+	Limited bool
 	// Pace is the slowdown that the target last reported: how many times as long as normally its requests take.
 	Pace float64
 }
@@ -49,9 +52,11 @@
 	}
 	for _, u := range g.upstreams.All() {
 		r := u.LastReport()
+		limit, limited := u.Limit()
 		d.Targets = append(d.Targets, TargetDump{
 			Target: u.Target.ID, Service: u.Target.Service, DataCentre: u.Target.DataCentre, Trust: u.TrustState(),
 			InFlight: u.InFlight(), Connections: u.Connections(), Running: r.Running, Waiting: r.Waiting, Pace: r.Slowdown,
+			Limit: limit, Limited: limited,
 		})
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetDump) int { return cmp.Compare(a.Target, b.Target) })
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -36,6 +36,15 @@
 	gauge("targets_ejected", "Targets that are ejected after failures, or on trial after an ejection.", func() float64 {
 		return float64(g.countEjected())
 	})
+	gauge("targets_limited", "Targets that name a limit of the requests that they take.", func() float64 {
+		n := 0
+		for _, u := range g.upstreams.All() {
+			if _, ok := u.Limit(); ok {
+				n++
+			}
+		}
+		return float64(n)
+	})
 	gauge("members", "VMs that this VM knows to be registered in the fleet; at least 1.", func() float64 {
 		return float64(g.fleet.Members())
 	})
