--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -31,11 +31,13 @@
 	mu      sync.Mutex
 	runs    map[string][]Run
 	lastRun map[string]time.Time
+	// times are the starts of all runs at each target.
+	times map[string][]time.Time
 }
 
 // NewRunLog returns an empty run log.
 func NewRunLog() *RunLog {
-	return &RunLog{runs: map[string][]Run{}, lastRun: map[string]time.Time{}}
+	return &RunLog{runs: map[string][]Run{}, lastRun: map[string]time.Time{}, times: map[string][]time.Time{}}
 }
 
 // Runs returns the runs of a request.
@@ -52,6 +54,13 @@
 	return r.lastRun[target]
 }
 
+// Times returns the starts of all runs at a target, in order.
+func (r *RunLog) Times(target string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.times[target])
+}
+
 // add records that a run starts now.
 func (r *RunLog) add(id, target string) {
 	r.mu.Lock()
@@ -59,6 +68,7 @@
 	now := time.Now()
 	r.runs[id] = append(r.runs[id], Run{Target: target, At: now})
 	r.lastRun[target] = now
+	r.times[target] = append(r.times[target], now)
 }
 
 // Target is an HTTP server that acts as one target; it is safe for concurrent use.
@@ -86,6 +96,8 @@
 	Leaving atomic.Bool
 	// pause is the value of Retry-After with which the target rejects all requests; empty if it rejects none.
 	pause atomic.Value
+	// limit is the limit that the target names in its responses.
+	limit atomic.Value
 	// rejected counts the requests and probes that the target has answered with a pause.
 	rejected atomic.Int64
 	// crashPath is the path of requests that crash the target; empty if none do.
@@ -169,6 +181,18 @@
 	}
 }
 
+// namedLimit is a limit that a target names, in responses to requests and, if inProbes is true, to probes.
+type namedLimit struct {
+	value    string
+	inProbes bool
+}
+
+// NameLimit makes the target name a limit in its responses to requests and, if inProbes is true, to probes; an empty
+// value ends that. The target takes more than it names.
+func (t *Target) NameLimit(perSecond string, inProbes bool) {
+	t.limit.Store(namedLimit{value: perSecond, inProbes: inProbes})
+}
+
 // AskForPause makes the target answer all requests and probes with 503 and this value of Retry-After; an empty value
 // ends that.
 func (t *Target) AskForPause(retryAfter string) {
@@ -187,6 +211,9 @@
 		w.Header().Set(t.headers.Leaving, "1")
 	}
 	id := r.Header.Get(t.headers.RequestID)
+	if l, _ := t.limit.Load().(namedLimit); l.value != "" && (id != "" || l.inProbes) {
+		w.Header().Set(t.headers.Limit, l.value)
+	}
 	if p, _ := t.pause.Load().(string); p != "" {
 		t.reject(w, id, p)
 		return
