--- a/connection/exchange/notice_test.go
+++ b/connection/exchange/notice_test.go
@@ -30,7 +30,7 @@
 		{"unreadable", "1", "soon", "", 503, Notice{Leaving: true}, true},
 		{"pause with another status", "", "2", "", 429, Notice{}, false},
 		{"limit", "", "", "1.4", 200, Notice{Limit: 1.4, Limited: true}, false},
-		{"limit in a refusal with a pause", "", "2", "3", 503, Notice{QuietFor: 2 * time.Second, Limit: 3, Limited: true}, false},
+		{"limit and pause", "", "2", "3", 503, Notice{QuietFor: 2 * time.Second, Limit: 3, Limited: true}, false},
 		{"limit of zero", "", "", "0", 200, Notice{Limited: true}, false},
 		{"infinite limit", "", "", "Inf", 200, Notice{Limit: maxLimit, Limited: true}, false},
 		{"negative limit", "", "", "-1", 200, Notice{}, true},
@@ -49,3 +49,26 @@
 		})
 	}
 }
+
+// TestEndsLimit checks which responses without a limit show that the target names none any more.
+func TestEndsLimit(t *testing.T) {
+	rows := []struct {
+		name     string
+		notice   Notice
+		inProbes bool
+		want     bool
+	}{
+		{"request run", Notice{Source: fromRun}, false, true},
+		{"request refused", Notice{Source: fromRefusal}, true, false},
+		{"probe of a target that names it in probes", Notice{Source: fromProbe}, true, true},
+		{"probe of a target that does not", Notice{Source: fromProbe}, false, false},
+		{"request run, with a limit", Notice{Source: fromRun, Limited: true}, true, false},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			if got := r.notice.EndsLimit(r.inProbes); got != r.want {
+				t.Errorf("EndsLimit = %t, want %t", got, r.want)
+			}
+		})
+	}
+}
--- a/connection/upstream/notice.go
+++ b/connection/upstream/notice.go
@@ -18,6 +18,9 @@
 	limit         ident.Rate
 	limited       bool
 	limitInProbes bool
+	// limitedAt is when the target began to name a limit, and lastSend when this VM last sent it a request.
+	limitedAt clock.Instant
+	lastSend  clock.Instant
 }
 
 // record returns the notices after one more response of the target. A shorter pause does not end a longer one early.
@@ -28,6 +31,9 @@
 	}
 	switch {
 	case r.Limited:
+		if !n.limited {
+			n.limitedAt, n.lastSend = now, 0
+		}
 		n.limit, n.limited = r.Limit, true
 		n.limitInProbes = n.limitInProbes || r.FromProbe()
 	case r.EndsLimit(n.limitInProbes):
--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -1,12 +1,14 @@
 package upstream
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
@@ -67,7 +69,10 @@
 			limit = min(max(connLimit, minConnections), maxConnections)
 		}
 		p := exchange.NewPool(t.Address, limit, s.dial, s.clock)
-		u = &Upstream{Target: t, clock: s.clock, log: s.log, trust: newTrust(), notices: s.noticesOf(k)}
+		u = &Upstream{
+			Target: t, clock: s.clock, log: s.log, trust: newTrust(), notices: s.noticesOf(k),
+			limitPhase: ident.Share(rand.Float64()),
+		}
 		u.client = exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers, u.recordNotice)
 		s.all[k] = u
 	}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -27,6 +27,10 @@
 	trust    *trust
 	notices  notices
 	inFlight int
+	// limitPhase is the part of the gap after which this VM sends its first request to a target that names a limit.
+	limitPhase ident.Share
+	// lastRecheck is when a probe was last due that shows whether the target still names its limit.
+	lastRecheck clock.Instant
 	// recentSends are the times of the latest sends, which the last report may not count yet.
 	recentSends []clock.Instant
 	lastReport  exchange.Report
--- a/process/fleet/share_test.go
+++ b/process/fleet/share_test.go
@@ -11,8 +11,8 @@
 	"github.com/amaranthramp/amaranthramp/version/roster"
 )
 
-// TestShareWhileMembersUnknown checks that a VM that does not know the members yet uses no allowance of the fleet, rather
-// than all of it, and that registrations lost by the store don't raise its part.
+// TestShareWhileMembersUnknown checks that a VM that does not know the members yet uses no allowance of the fleet,
+// rather than all of it, and that registrations lost by the store don't raise its part.
 func TestShareWhileMembersUnknown(t *testing.T) {
 	g := catalog.New(clock.NewFake(), zerolog.Nop())
 	f := &Fleet{catalog: g}
--- a/process/fleet/warmup_senders.go
+++ b/process/fleet/warmup_senders.go
@@ -23,7 +23,12 @@
 // warmupSenders returns how many members may start requests at a target in its cold start, or zero if the VM isn't one
 // of them. Each target has its own senders, chosen by hash.
 func warmupSenders(l []roster.Member, self ident.VM, t ident.Target, rate float64, b WarmupRateBound) int {
-	senders := max(int(warmupSenderShare*(rate*b.Factor+b.Slack)), 1)
+	return senders(l, self, t, max(int(warmupSenderShare*(rate*b.Factor+b.Slack)), 1))
+}
+
+// senders returns how many members may send to a target, at most n, or zero if the VM isn't one of them. They are
+// chosen by hash, differently for each target.
+func senders(l []roster.Member, self ident.VM, t ident.Target, n int) int {
 	mine := hash(string(t) + "/" + string(self))
 	before := 0
 	found := false
@@ -36,8 +41,8 @@
 			before++
 		}
 	}
-	if !found || before >= senders {
+	if !found || before >= n {
 		return 0
 	}
-	return min(senders, len(l))
+	return min(n, len(l))
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -86,7 +86,7 @@
 	f.HandleQuarantine(func(m *wire.QuarantineNews, from ident.Address) { q.Handle(m, from, f) })
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
-		relay:      relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f.Members, s.ProbeRate, c, l), b, q, c, l),
+		relay:      relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f, s.ProbeRate, c, l), b, q, c, l),
 		quarantine: q,
 		retries:    b, registry: registry, headers: h, droppedLines: droppedLines,
 	}
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -40,6 +40,10 @@
 	coldPenalty = 2
 	// reportWait is how long a choice waits for reports. Targets respond to probes immediately.
 	reportWait = 20 * time.Millisecond
+	// minRecheckInterval is the least time between two probes that only check whether a target still names a limit, and
+	// recheckShare the share of the probe rate that all VMs together use for them.
+	minRecheckInterval = time.Second
+	recheckShare       = 0.25
 	// probeTimeout is the timeout of a probe, which may outlast the choice. After it the connection is abandoned.
 	probeTimeout = 300 * time.Millisecond
 )
@@ -50,14 +54,23 @@
 	Take(t *roster.Target, s *route.Service) bool
 }
 
+// Fleet tells how many VMs there are and how they share the requests to a target that names a limit.
+type Fleet interface {
+	// Members returns the number of VMs, at least one.
+	Members() int
+	// LimitGap returns the time between two requests of this VM to a target that takes the given rate from all VMs
+	// together.
+	LimitGap(t ident.Target, r ident.Rate) time.Duration
+}
+
 // Chooser chooses the targets of requests. It is safe for concurrent use.
 type Chooser struct {
-	catalog     *catalog.Catalog
-	upstreams   *upstream.Set
-	vm          ident.VM
-	dataCentre  ident.DataCentre
-	warmup      WarmupLimiter
-	memberCount func() int
+	catalog    *catalog.Catalog
+	upstreams  *upstream.Set
+	vm         ident.VM
+	dataCentre ident.DataCentre
+	warmup     WarmupLimiter
+	fleet      Fleet
 	// probeRate is the rate, in probes per second, that all VMs together send to a target.
 	probeRate float64
 	clock     clock.Clock
@@ -65,16 +78,16 @@
 	limiters  probeLimiters
 }
 
-// New returns a chooser for a VM in the given data centre. The function memberCount returns the number of VMs, and
-// probeRate is the limit on the probes per second that a target may receive from all of them together.
+// New returns a chooser for a VM in the given data centre. probeRate is the limit on the probes per second that a
+// target may receive from all VMs together.
 func New(g *catalog.Catalog, s *upstream.Set, v ident.VM, z ident.DataCentre, w WarmupLimiter,
-	memberCount func() int, probeRate float64, c clock.Clock, l zerolog.Logger,
+	f Fleet, probeRate float64, c clock.Clock, l zerolog.Logger,
 ) *Chooser {
 	if probeRate <= 0 {
 		probeRate = defaultProbeRate
 	}
 	return &Chooser{
-		catalog: g, upstreams: s, vm: v, dataCentre: z, warmup: w, memberCount: memberCount,
+		catalog: g, upstreams: s, vm: v, dataCentre: z, warmup: w, fleet: f,
 		probeRate: probeRateShare * probeRate,
 		clock:     c, log: l,
 		limiters: probeLimiters{byService: map[ident.Service]*probeLimiter{}},
@@ -122,10 +135,20 @@
 	// Probed is the number of targets probed, including those of earlier unsuccessful rounds.
 	Probed int
 	Score  float64
-	// RetryAfter is, if there is no target because all have asked for a pause, when the first pause ends; zero otherwise.
+	// Limited is whether the request has been counted towards a limit that the target names.
+	Limited bool
+	// RetryAfter is, if there is no target because all have asked for a pause or take no more requests from this VM at
+	// present, when the first one takes some again; zero otherwise.
 	RetryAfter time.Duration
 }
 
+// Accepts reports whether the request may still be sent to the target, which may have announced since the choice that
+// it leaves, or may have asked for a pause or named a limit.
+func (h *Choice) Accepts() bool {
+	_, limited := h.Upstream.Limit()
+	return h.Upstream.Accepts() && (h.Limited || !limited)
+}
+
 // candidate is a target to which the request may be sent.
 type candidate struct {
 	upstream *upstream.Upstream
@@ -140,6 +163,8 @@
 	conn        *pool.Conn
 	score       float64
 	hasCapacity bool
+	// limited is whether the target names a limit towards which the request is counted.
+	limited bool
 }
 
 // Choose returns the target for a request, or the reason why there is none.
@@ -158,9 +183,15 @@
 		probed += n
 		switch {
 		case s != nil:
-			return Choice{Upstream: s.upstream, Conn: s.conn, Report: s.report, Probed: probed, Score: s.score}, ""
+			return Choice{
+				Upstream: s.upstream, Conn: s.conn, Report: s.report, Probed: probed, Score: s.score, Limited: s.limited,
+			}, ""
 		case !hasTargets:
-			return c.noTarget(q, probed)
+			d := c.unavailableFor(q.Service.Name)
+			if d > 0 && c.clock.Now().Add(d) <= q.WaitUntil && clock.Sleep(ctx, d) {
+				continue
+			}
+			return noTarget(probed, d)
 		case ctx.Err() != nil:
 			return Choice{Probed: probed}, outcome.Cancelled
 		case c.clock.Now() >= q.WaitUntil:
@@ -169,24 +200,32 @@
 	}
 }
 
-// noTarget returns the result for a service without an eligible target. If all its targets leave or have asked for a
-// pause, waiting for one of them would outlast the wait for a target in most cases, so the request is refused at once,
-// with the shortest pause.
-func (c *Chooser) noTarget(q *Query, probed int) (Choice, outcome.Reason) {
+// noTarget returns the result for a service without an eligible target. If all its targets take no requests from this
+// VM for a time, that time is positive.
+func noTarget(probed int, unavailableFor time.Duration) (Choice, outcome.Reason) {
+	if unavailableFor > 0 {
+		return Choice{Probed: probed, RetryAfter: unavailableFor}, outcome.Overload
+	}
+	return Choice{Probed: probed}, outcome.NoTarget
+}
+
+// unavailableFor returns when the first target of a service takes requests from this VM again, if all of them leave,
+// have asked for a pause, or name a limit of which this VM has used its part; zero otherwise.
+func (c *Chooser) unavailableFor(s ident.Service) time.Duration {
 	shortest := time.Duration(0)
-	for _, t := range c.catalog.Get().Roster.Available(q.Service.Name) {
+	for _, t := range c.catalog.Get().Roster.Available(s) {
 		u := c.upstreams.Get(t, 0)
+		d := u.QuietFor()
 		if u.Accepts() {
-			return Choice{Probed: probed}, outcome.NoTarget
+			if d = u.LimitWait(c.fleet.LimitGap); d == 0 {
+				return 0
+			}
 		}
-		if d := u.QuietFor(); d > 0 && (shortest == 0 || d < shortest) {
+		if d > 0 && (shortest == 0 || d < shortest) {
 			shortest = d
 		}
 	}
-	if shortest > 0 {
-		return Choice{Probed: probed, RetryAfter: shortest}, outcome.Overload
-	}
-	return Choice{Probed: probed}, outcome.NoTarget
+	return shortest
 }
 
 // tryChoose tries once to choose a target, and counts the request as in flight there, so that concurrent choices take
@@ -202,6 +241,12 @@
 	if s != nil && s.hasCapacity && q.fastEnough(c.clock.Now(), s.score) &&
 		(!s.cold || c.warmup.Take(&s.target, &q.Service)) {
 		l.clearSaturated()
+		_, s.limited = s.upstream.Limit()
+		if !s.upstream.TakeLimit(c.fleet.LimitGap) {
+			// A concurrent request has used the limit up; this one may find another target.
+			s.upstream.Release(s.conn)
+			return nil, probed, true
+		}
 		s.upstream.Reserve()
 		return s, probed, true
 	}
@@ -212,14 +257,14 @@
 	return nil, probed, true
 }
 
-// eligible returns the targets to which the request may be sent. Targets that leave or have asked for a pause are never
-// among them. A target is ejected after failures and then
-// gets only trial requests (see package upstream). Ejected targets for which no trial is due are excluded only if the
+// eligible returns the targets to which the request may be sent. Targets that leave, have asked for a pause, or name a
+// limit of which this VM has used its part are never among them. A target is ejected after failures and then gets only
+// trial requests (see package upstream). Ejected targets for which no trial is due are excluded only if the
 // others are at least half of all targets.
 func (c *Chooser) eligible(q *Query) []candidate {
 	v := c.catalog.Get()
 	now := c.clock.Now()
-	connections := q.Service.MaxConnections / max(c.memberCount(), 1)
+	connections := q.Service.MaxConnections / max(c.fleet.Members(), 1)
 	var usable, unusable []candidate
 	for _, t := range v.Roster.Available(q.Service.Name) {
 		if slices.Contains(q.Tried, t.ID) {
@@ -229,6 +274,10 @@
 		if !u.Accepts() {
 			continue
 		}
+		if u.LimitWait(c.fleet.LimitGap) > 0 {
+			c.recheckLimit(u, q.Service.HealthPath)
+			continue
+		}
 		k := candidate{upstream: u, target: t, cold: now < max(u.WarmupEnd(), t.ColdUntil)}
 		if u.Usable() {
 			usable = append(usable, k)
@@ -242,10 +291,28 @@
 	return usable
 }
 
+// recheckLimit probes a target that names a limit now and then, to learn whether it still does, since this VM sends it
+// few requests or none.
+func (c *Chooser) recheckLimit(u *upstream.Upstream, path string) {
+	perTarget := recheckShare * c.probeRate / float64(c.fleet.Members())
+	if !u.RecheckDue(max(time.Duration(float64(time.Second)/perTarget), minRecheckInterval)) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		_, n, err := u.Probe(ctx, path)
+		if err != nil {
+			c.log.Debug().Str("Target", string(u.Target.ID)).Err(err).Msg("could not probe target for its limit")
+		}
+		u.Release(n)
+	}()
+}
+
 // probeCandidates probes candidates, local ones first, and returns the best and the number of candidates probed. It
 // releases the connections to the others.
 func (c *Chooser) probeCandidates(ctx context.Context, q *Query, n *probeLimiter, l []candidate) (*probeResult, int) {
-	rate := c.probeRate * float64(len(l)) / float64(max(c.memberCount(), 1))
+	rate := c.probeRate * float64(len(l)) / float64(max(c.fleet.Members(), 1))
 	var local, remote []candidate
 	for _, k := range l {
 		if k.target.DataCentre == c.dataCentre {
--- a/request/claim/claimer.go
+++ b/request/claim/claimer.go
@@ -142,7 +142,8 @@
 
 func newRecord(s *config.Service, c *call.Call) *wire.ClaimRecord {
 	return &wire.ClaimRecord{
-		Service: string(c.Service), Key: string(c.Key), Fingerprint: uint64(quarantine.FingerprintOf(string(c.Service), c)), Token: rand.Text(),
+		Service: string(c.Service), Key: string(c.Key), Token: rand.Text(),
+		Fingerprint: uint64(quarantine.FingerprintOf(string(c.Service), c)),
 		RetentionMs: time.Duration(s.KeyRetention).Milliseconds(),
 	}
 }
--- a/request/quarantine/gossip.go
+++ b/request/quarantine/gossip.go
@@ -36,8 +36,8 @@
 	SendQuarantine(to ident.Address, m *wire.QuarantineNews)
 }
 
-// Gossip exchanges observations with the other members until the context ends. A death is reported to the keepers of the
-// request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to all.
+// Gossip exchanges observations with the other members until the context ends. A death is reported to the keepers of
+// the request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to all.
 func (t *Table) Gossip(ctx context.Context, p Peers) {
 	sync := time.NewTicker(syncInterval)
 	defer sync.Stop()
@@ -125,8 +125,8 @@
 	}
 }
 
-// keepers returns the members that count the deaths of targets by a request, the same ones at each member that knows the
-// same members: by rendezvous hashing, and in different data centres as far as possible. It reorders the list.
+// keepers returns the members that count the deaths of targets by a request, the same ones at each member that knows
+// the same members: by rendezvous hashing, and in different data centres as far as possible. It reorders the list.
 func keepers(f Fingerprint, l []roster.Member) []roster.Member {
 	slices.SortFunc(l, func(a, b roster.Member) int {
 		return cmp.Compare(hashOf(f, a.Name), hashOf(f, b.Name))
@@ -141,8 +141,7 @@
 		seen[m.DataCentre] = true
 		first = append(first, m)
 	}
-	l = append(first, rest...)
-	return l[:min(keeperCount, len(l))]
+	return slices.Concat(first, rest)[:min(keeperCount, len(l))]
 }
 
 func hashOf(f Fingerprint, v ident.VM) uint64 {
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
-	"github.com/amaranthramp/amaranthramp/connection/upstream"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -58,7 +57,9 @@
 func New(
 	g *catalog.Catalog, h Chooser, b *retry.SlidingWindow, q *quarantine.Table, c clock.Clock, l zerolog.Logger,
 ) *Relay {
-	return &Relay{catalog: g, chooser: h, retries: b, quarantine: q, latency: candidate.NewLatencyEstimator(), clock: c, log: l}
+	return &Relay{
+		catalog: g, chooser: h, retries: b, quarantine: q, latency: candidate.NewLatencyEstimator(), clock: c, log: l,
+	}
 }
 
 // requestState is the state of one request across its attempts.
@@ -182,7 +183,7 @@
 		go r.watchdog(ctx, cancel, s, h)
 	}
 	check := func() outcome.Reason {
-		reason := r.checkBeforeWrite(h.Upstream, s)
+		reason := r.checkBeforeWrite(h, s)
 		if reason == "" {
 			s.retry.Sent()
 		}
@@ -200,11 +201,11 @@
 }
 
 // checkBeforeWrite runs immediately before the first byte of a request is written, so that no request is sent to a
-// target that has begun to drain or has asked for a pause, after the deadline, or while the request is quarantined. It returns the reason not to send, if
-// any.
-func (r *Relay) checkBeforeWrite(u *upstream.Upstream, s *requestState) outcome.Reason {
+// target that has begun to drain, has asked for a pause or has named a limit since it was chosen, after the deadline, or
+// while the request is quarantined. It returns the reason not to send, if any.
+func (r *Relay) checkBeforeWrite(h *candidate.Choice, s *requestState) outcome.Reason {
 	c := s.call
-	if !r.catalog.Get().Roster.Accepts(c.Service, u.Target.ID) || !u.Accepts() {
+	if !r.catalog.Get().Roster.Accepts(c.Service, h.Upstream.Target.ID) || !h.Accepts() {
 		return outcome.NoTarget
 	}
 	if r.quarantine.Quarantined(s.fingerprint) {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -160,7 +160,7 @@
 	}
 	g.Replace(catalog.Targets, records, catalog.Position{Revision: 1})
 	set := upstream.NewSet(c, zerolog.Nop(), headers, pool.DialTCP)
-	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, func() int { return 1 }, 60, c, zerolog.Nop())
+	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, oneVM{}, 60, c, zerolog.Nop())
 	const window = 10 * time.Second
 	past := clock.NewFake()
 	b := retry.NewSlidingWindow(past, 0, func() float64 { return slack }, window)
@@ -176,6 +176,15 @@
 	}
 }
 
+// oneVM is a fleet of one VM.
+type oneVM struct{}
+
+func (oneVM) Members() int { return 1 }
+
+func (oneVM) LimitGap(_ ident.Target, r ident.Rate) time.Duration {
+	return time.Duration(float64(time.Second) / float64(r))
+}
+
 // noWarmupLimit allows every request to a cold target.
 type noWarmupLimit struct{}
 
@@ -304,7 +313,8 @@
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
 	}
 	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, pool.DialTCP).Get(roster.Target{ID: "i-1", Service: "book"}, 0)
-	if r := y.checkBeforeWrite(u, &requestState{call: &call.Call{Service: "book", Deadline: 1 << 62}}); r != outcome.NoTarget {
+	s := &requestState{call: &call.Call{Service: "book", Deadline: 1 << 62}}
+	if r := y.checkBeforeWrite(&candidate.Choice{Upstream: u}, s); r != outcome.NoTarget {
 		t.Errorf("check before write returned %q, want no-target", r)
 	}
 }
--- a/request/retry/fleet_test.go
+++ b/request/retry/fleet_test.go
@@ -78,8 +78,8 @@
 }
 
 // TestRetriesAfterBurst checks, for VMs whose loads change, that no period of the window's length, wherever it begins,
-// contains more retries than the operators allow: the share of the requests in it, in the period before it or in the one
-// half a period before it, plus the slack.
+// contains more retries than the operators allow: the share of the requests in it, in the period before it or in the
+// one half a period before it, plus the slack.
 func TestRetriesAfterBurst(t *testing.T) {
 	const share, length, step = 0.2, 10 * time.Second, 50 * time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -20,15 +20,15 @@
 
 // SlidingWindow is a sliding-window limit: the retries of a service within any period of the window's length may not
 // exceed a share of its requests plus a fixed slack. The requests that count are those of the period that began half a
-// window earlier. When a retry is decided on, those that follow in its own period are not known yet, and after a burst
-// there are fewer than before.
+// window earlier: when a retry is decided on, those that follow in its own period are not known yet, and after a burst
+// they are fewer than before.
 //
-// The limit is additive: if each VM applies it to its own requests with its part of the slack, it also holds for all VMs
-// together.
+// The limit is additive: if each VM applies it to its own requests with its part of the slack, it also holds for all
+// VMs together.
 //
-// A process does not know the retries of the process that ran before it on the same VM. It therefore makes no use of the
-// slack in its first window, which may contain those retries; the share needs no such delay, since each process counts
-// its own requests only.
+// A process does not know the retries of the process that ran before it on the same VM. It therefore makes no use of
+// the slack in its first window, which may contain those retries; the share needs no such delay, since each process
+// counts its own requests only.
 //
 // It is safe for concurrent use.
 type SlidingWindow struct {
