Bound the memory of all response bodies that are read at once

Each response was bounded, at 64 KiB of header and 4 MiB of body, but not all of them together: 48 requests at targets that send a body slowly and without end held up to 4 MiB each, and doubled it while the buffer grew.

Bodies beyond 64 KiB now take part in a budget of 0.15 of the VM's memory while they are read. The stand-in target learns to send them.

--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -140,7 +140,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &t) && t.Timeout()) {
 		return outcome.Silent
 	}
-	if errors.Is(err, pool.ErrReadLimit) {
+	if errors.Is(err, pool.ErrReadLimit) || errors.Is(err, errBodyBudget) {
 		return outcome.TooLarge
 	}
 	return outcome.Reset
--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -56,16 +56,18 @@
 	pool    *pool.Pool
 	clock   clock.Clock
 	headers *Headers
+	bodies  *BodyBudget
 	// notify receives the notice in each response of the target, and an error if a part of it can't be read.
 	notify func(Notice, error)
 }
 
-// NewTargetClient returns a client for the incarnation of a target to which the pool connects. It calls notify with the
-// notice in each response header that it reads, also if the response belongs to another request.
+// NewTargetClient returns a client for the incarnation of a target to which the pool connects. The bodies that it reads
+// share the budget b with others. It calls notify with the notice in each response header that it reads, also if the
+// response belongs to another request.
 func NewTargetClient(
-	t ident.Target, a ident.Address, p *pool.Pool, c clock.Clock, h *Headers, notify func(Notice, error),
+	t ident.Target, a ident.Address, p *pool.Pool, c clock.Clock, h *Headers, b *BodyBudget, notify func(Notice, error),
 ) *TargetClient {
-	return &TargetClient{target: t, address: a, pool: p, clock: c, headers: h, notify: notify}
+	return &TargetClient{target: t, address: a, pool: p, clock: c, headers: h, bodies: b, notify: notify}
 }
 
 // Probe requests the health and load of the target. Besides the report it returns the connection if another request may
@@ -179,7 +181,7 @@
 		}
 		d.notice(p, d.sourceOf(p))
 		n.SetReadLimit(maxBodyBytes)
-		b, err := io.ReadAll(io.LimitReader(p.Body, call.MaxBody+1))
+		b, err := d.bodies.readBody(p.Body)
 		_ = p.Body.Close()
 		if err != nil {
 			return broken(reasonOfBodyError(err)), false
--- a/connection/exchange/target_client_test.go
+++ b/connection/exchange/target_client_test.go
@@ -43,7 +43,7 @@
 	c := clock.New()
 	p := NewPool(a, 4, pool.DialTCP, c)
 	t.Cleanup(p.Close)
-	return NewTargetClient("i-1", a, p, c, names, func(Notice, error) {}), p
+	return NewTargetClient("i-1", a, p, c, names, NewBodyBudget(0), func(Notice, error) {}), p
 }
 
 func serveConn(n net.Conn, respond func(r *http.Request) string) {
@@ -148,7 +148,7 @@
 		}()
 		a := ident.Address(l.Addr().String())
 		c := clock.New()
-		d := NewTargetClient("i-1", a, NewPool(a, 4, pool.DialTCP, c), c, names, func(Notice, error) {})
+		d := NewTargetClient("i-1", a, NewPool(a, 4, pool.DialTCP, c), c, names, NewBodyBudget(0), func(Notice, error) {})
 		x := d.Do(context.Background(), nil, newTargetCall(true), allow)
 		_ = l.Close()
 		if _, ok := x.Event.(outcome.Completed); ok == reset {
--- a/connection/upstream/notice_test.go
+++ b/connection/upstream/notice_test.go
@@ -47,7 +47,7 @@
 // TestNoticesOutliveRegistration checks that a target that has announced that it leaves gets no requests after its
 // registration has expired and come back, but that its next incarnation does.
 func TestNoticesOutliveRegistration(t *testing.T) {
-	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, pool.DialTCP)
+	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP)
 	g := roster.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", StartedAtMs: 7}
 	s.Get(g, 0).recordNotice(exchange.Notice{Leaving: true}, nil)
 	s.RetainRegistered(roster.New(nil, nil))
--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -29,6 +29,7 @@
 	clock   clock.Clock
 	log     zerolog.Logger
 	headers *exchange.Headers
+	bodies  *exchange.BodyBudget
 	dial    pool.Dial
 
 	mu sync.Mutex
@@ -40,10 +41,11 @@
 	departures []roster.Incarnation
 }
 
-// NewSet returns an empty set whose upstreams open connections with the given dial function.
-func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, d pool.Dial) *Set {
+// NewSet returns an empty set whose upstreams open connections with the given dial function and share the budget b for
+// the bodies of their responses.
+func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, b *exchange.BodyBudget, d pool.Dial) *Set {
 	return &Set{
-		clock: c, log: l, headers: h, dial: d,
+		clock: c, log: l, headers: h, bodies: b, dial: d,
 		all: map[roster.Incarnation]*Upstream{}, departed: map[roster.Incarnation]notices{},
 	}
 }
@@ -73,7 +75,7 @@
 			Target: t, clock: s.clock, log: s.log, trust: newTrust(), notices: s.noticesOf(k),
 			limitPhase: ident.Share(rand.Float64()),
 		}
-		u.client = exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers, u.recordNotice)
+		u.client = exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers, s.bodies, u.recordNotice)
 		s.all[k] = u
 	}
 	return u
--- a/process/fleet/limit_gap.go
+++ b/process/fleet/limit_gap.go
@@ -29,8 +29,8 @@
 )
 
 // limitGap returns the time between two requests of a VM to a target that takes the given rate from all members
-// together. As in a warm-up, a few senders have most of the rate: each member may send one request at once, so that with
-// all members as senders the bound would not hold in a large fleet.
+// together. As in a warm-up, a few senders have most of the rate: each member may send one request at once, so that
+// with all members as senders the bound would not hold in a large fleet.
 func limitGap(l []roster.Member, self ident.VM, t ident.Target, r ident.Rate) time.Duration {
 	excess := float64(r)*(limitFactor-1)*limitWindow.Seconds() + limitSlack
 	n := senders(l, self, t, max(int(limitSenderShare*excess), 1))
--- a/process/fleet/limit_gap_test.go
+++ b/process/fleet/limit_gap_test.go
@@ -38,8 +38,8 @@
 	return limitFactor*float64(r)*limitWindow.Seconds() + limitSlack
 }
 
-// TestLimitGapsKeepLimit checks that the gaps of all members of a fleet add up to no more than the limit of a target and
-// to most of it, and that the bound holds if all senders send at once.
+// TestLimitGapsKeepLimit checks that the gaps of all members of a fleet add up to no more than the limit of a target
+// and to most of it, and that the bound holds if all senders send at once.
 func TestLimitGapsKeepLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := membersNamed(rapid.IntRange(1, 300).Draw(t, "members"))
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -42,6 +42,8 @@
 	// memoryLimitShare is the share of the VM's memory that is set as the soft limit of the garbage collector, which runs
 	// more often near it: the heap of a reader of the store grows while many members fetch updates from it at once.
 	memoryLimitShare = 0.4
+	// bodyShare is the share of the VM's memory for the bodies of responses while they are read.
+	bodyShare = 0.15
 	// quarantineDeaths is how many targets may die under a request before it is quarantined. A target that loses
 	// responses looks like one that dies, so that two in a row are no proof.
 	quarantineDeaths = 3
@@ -74,7 +76,8 @@
 	registry := prometheus.NewRegistry()
 	src = newInstrumentedSource(src, registry)
 	g := catalog.New(c, l)
-	set := upstream.NewSet(c, l, h, pool.DialTCP)
+	bodies := exchange.NewBodyBudget(ident.Bytes(bodyShare * float64(s.Memory)))
+	set := upstream.NewSet(c, l, h, bodies, pool.DialTCP)
 	r := catalog.NewFollower(g, src, c, l)
 	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
 	bound := fleet.WarmupRateBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -159,7 +159,7 @@
 		}}})
 	}
 	g.Replace(catalog.Targets, records, catalog.Position{Revision: 1})
-	set := upstream.NewSet(c, zerolog.Nop(), headers, pool.DialTCP)
+	set := upstream.NewSet(c, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP)
 	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, oneVM{}, 60, c, zerolog.Nop())
 	const window = 10 * time.Second
 	past := clock.NewFake()
@@ -312,7 +312,8 @@
 	if sends, _ := f.counts(); a.Status != 503 || a.Reason != outcome.NoTarget || sends != 0 {
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
 	}
-	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, pool.DialTCP).Get(roster.Target{ID: "i-1", Service: "book"}, 0)
+	set := upstream.NewSet(y.clock, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP)
+	u := set.Get(roster.Target{ID: "i-1", Service: "book"}, 0)
 	s := &requestState{call: &call.Call{Service: "book", Deadline: 1 << 62}}
 	if r := y.checkBeforeWrite(&candidate.Choice{Upstream: u}, s); r != outcome.NoTarget {
 		t.Errorf("check before write returned %q, want no-target", r)
--- a/request/retry/window_test.go
+++ b/request/retry/window_test.go
@@ -44,8 +44,8 @@
 	return n
 }
 
-// TestWindowGrants checks that nearly the whole limit can be used under a steady load: one retry per five requests, plus
-// the slack. Rounding to intervals may cost one retry in a window.
+// TestWindowGrants checks that nearly the whole limit can be used under a steady load: one retry per five requests,
+// plus the slack. Rounding to intervals may cost one retry in a window.
 func TestWindowGrants(t *testing.T) {
 	const perSecond, length = 20, 10 * time.Second
 	c := clock.NewFake()
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -96,6 +96,9 @@
 	Leaving atomic.Bool
 	// pause is the value of Retry-After with which the target rejects all requests; empty if it rejects none.
 	pause atomic.Value
+	// endless is the kind of bytes without end that the target sends in place of answers to requests; empty if none.
+	endless                      atomic.Value
+	endlessPresent, endlessBegun atomic.Int64
 	// limit is the limit that the target names in its responses.
 	limit atomic.Value
 	// rejected counts the requests and probes that the target has answered with a pause.
@@ -238,6 +241,10 @@
 	}
 	defer t.releaseSlot()
 	t.runLog.add(id, t.ID)
+	if e, _ := t.endless.Load().(Endless); e != "" {
+		t.writeEndless(w, id, e)
+		return
+	}
 	if p, _ := t.crashPath.Load().(string); p != "" && r.URL.Path == p {
 		t.crash()
 		panic(http.ErrAbortHandler)
