--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -51,6 +51,14 @@
 	{"target asks for pauses", false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.AskForPause(map[bool]string{true: "0.7"}[on]) })
 	}},
+	{"target names a limit", false, func(s *soak, r *rand.Rand) error {
+		return s.withTargetFault(r, func(t *target.Target, on bool) { t.NameLimit(map[bool]string{true: "2"}[on], true) })
+	}},
+	{"target answers without end", false, func(s *soak, r *rand.Rand) error {
+		return s.withTargetFault(r, func(t *target.Target, on bool) {
+			t.SendEndless(map[bool]target.Endless{true: target.EndlessSlowBody}[on])
+		})
+	}},
 	{"target requests fail", false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.Fail.Store(on) })
 	}},
--- a/process/fleet/limit_gap_test.go
+++ b/process/fleet/limit_gap_test.go
@@ -89,8 +89,8 @@
 	})
 }
 
-// TestLimitGapWhileMembersUnknown checks that a VM that does not know the members sends next to nothing to a target that
-// names a limit.
+// TestLimitGapWhileMembersUnknown checks that a VM that does not know the members sends next to nothing to a target
+// that names a limit.
 func TestLimitGapWhileMembersUnknown(t *testing.T) {
 	if g := limitGap(nil, "vm", "t", 5); g != maxLimitGap {
 		t.Errorf("gap is %s while the members are unknown, want %s", g, maxLimitGap)
--- a/process/gateway/endless_test.go
+++ b/process/gateway/endless_test.go
@@ -42,8 +42,8 @@
 	return <-w.peak
 }
 
-// TestAnswersWithoutEnd checks, for each kind of answer without end, that a caller gets a final answer in time, that the
-// connection to the target is closed, and that the answers of many targets at once don't fill the memory of the VM.
+// TestAnswersWithoutEnd checks, for each kind of answer without end, that a caller gets a final answer in time, that
+// the connection to the target is closed, and that the answers of many targets at once don't fill the VM's memory.
 func TestAnswersWithoutEnd(t *testing.T) {
 	kinds := []target.Endless{
 		target.EndlessGarbage, target.EndlessStatusLine, target.EndlessHeader, target.EndlessInformational,
--- a/request/quarantine/gossip_test.go
+++ b/request/quarantine/gossip_test.go
@@ -86,9 +86,9 @@
 	return n
 }
 
-// TestQuarantineReachesAllMembers checks, for members that each see some of the deaths, lose datagrams and restart, that
-// a request that has crashed three targets is quarantined at all members, also at those that start later, and that one
-// that succeeds elsewhere in between is not.
+// TestQuarantineReachesAllMembers checks, for members that each see some of the deaths, lose datagrams and restart,
+// that a request that has crashed three targets is quarantined at all members, also at those that start later, and that
+// one that succeeds elsewhere in between is not.
 func TestQuarantineReachesAllMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -201,8 +201,8 @@
 }
 
 // checkBeforeWrite runs immediately before the first byte of a request is written, so that no request is sent to a
-// target that has begun to drain, has asked for a pause or has named a limit since it was chosen, after the deadline, or
-// while the request is quarantined. It returns the reason not to send, if any.
+// target that has begun to drain, has asked for a pause or has named a limit since it was chosen, after the deadline,
+// or while the request is quarantined. It returns the reason not to send, if any.
 func (r *Relay) checkBeforeWrite(h *candidate.Choice, s *requestState) outcome.Reason {
 	c := s.call
 	if !r.catalog.Get().Roster.Accepts(c.Service, h.Upstream.Target.ID) || !h.Accepts() {
