Don't take the end of a quarantine for a success

Found by reading: a member that was told of a quarantine in its last millisecond got an item without a time left, which reports a success, and so forgot the suspect. TestEndOfQuarantineIsNoSuccess failed before (no suspect left).

--- a/request/quarantine/gossip_test.go
+++ b/request/quarantine/gossip_test.go
@@ -126,6 +126,24 @@
 	})
 }
 
+// TestEndOfQuarantineIsNoSuccess checks that a member that learns of a quarantine in its last millisecond does not take
+// that for a success of the request, which would clear it.
+func TestEndOfQuarantineIsNoSuccess(t *testing.T) {
+	c := clock.NewFake()
+	n := newNetwork(c, 2, 1)
+	here, there := n.tables[n.members[0].Address], n.tables[n.members[1].Address]
+	for _, u := range []ident.Upstream{"x", "y", "z"} {
+		crash(here, c, u)
+	}
+	n.flush()
+	c.Advance(here.QuarantinedFor(1) - time.Microsecond)
+	l, _ := here.quarantines()
+	there.Apply(&wire.QuarantineNews{Items: l})
+	if !there.Quarantined(1) || there.Len() != 1 {
+		t.Errorf("quarantined %t, %d suspects, want true and 1", there.Quarantined(1), there.Len())
+	}
+}
+
 // TestKeepersAgree checks that all members choose the same keepers, in different data centres if there are enough.
 func TestKeepersAgree(t *testing.T) {
 	n := newNetwork(clock.NewFake(), 13, 4)
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -76,8 +76,8 @@
 	// of them died.
 	deadTargets []ident.Upstream
 	firstDeath  clock.Instant
-	// countFrom is when that death was recorded or, if it led to a quarantine, when that one ends. Only attempts that
-	// began later can count again.
+	// countFrom is when the last of these deaths was recorded or, if it led to a quarantine, when that one ends. Only
+	// attempts that began later can count again.
 	countFrom clock.Instant
 	// quarantinedUntil is when the last quarantine ends, and quarantines is how many there have been.
 	quarantinedUntil clock.Instant
@@ -261,11 +261,12 @@
 	t.reports.Replace(newReport(s.item(f, now)))
 }
 
-// item returns the message by which other members learn of the quarantine.
+// item returns the message by which other members learn of the quarantine. Its last millisecond counts as a whole one,
+// since an item without a time left reports a success.
 func (s *suspect) item(f Fingerprint, now clock.Instant) *wire.QuarantineItem {
 	return &wire.QuarantineItem{
 		Fingerprint: uint64(f), AgeMs: now.Sub(s.firstDeath).Milliseconds(),
-		QuarantinedMs: s.quarantinedUntil.Sub(now).Milliseconds(), Quarantines: uint32(s.quarantines),
+		QuarantinedMs: max(s.quarantinedUntil.Sub(now).Milliseconds(), 1), Quarantines: uint32(s.quarantines),
 	}
 }
 
