Resume from what other readers have brought before listing in a new era

Callers of a data centre that had been evacuated and taken back in the store's new era could go without it for up to 30 s. A reader that got through to the store late, having learned of the new era from another reader, listed the kind again. A listing does not show a write that has been undone, so that what the reader had carried over from the previous era stayed out, and its position moved beyond the changes, so that it did not fetch them either.

It now watches from the position up to which other readers have brought it, if that is of the store's era and later than the one at which its watch failed, and lists only otherwise: a call less, too.

--- a/process/catalog/era_test.go
+++ b/process/catalog/era_test.go
@@ -323,3 +323,27 @@
 		t.Fatalf("version %d in force, want 11", v)
 	}
 }
+
+// TestReaderSeesUndoneWritesOfNewEra checks that a reader of the store that learned of a new era from another reader, and
+// gets through to the store only later, sees that an evacuation has been written and taken back in the meantime. A listing
+// would not show that.
+func TestReaderSeesUndoneWritesOfNewEra(t *testing.T) {
+	m := newFakeStore()
+	c := clock.New()
+	g := New(c, zerolog.Nop())
+	f := NewFollower(g, m, c, zerolog.Nop())
+	m.put(Evacuations, "a", Evacuation{DataCentre: "a"})
+	f.Start(t.Context(), "test")
+	waitFor(t, "the data centre is evacuated", func() bool { return g.Get().Roster.Evacuated("a") })
+	m.setDown(true)
+	waitFor(t, "the follower sees that the store does not answer", func() bool { return !f.storeAnswers() })
+	m.restore()
+	g.ApplyUpdate(Evacuations, Update{Whole: true, AsOf: m.position()})
+	if !g.Get().Roster.Evacuated("a") {
+		t.Fatal("data centre is in service after its evacuation was lost, want it evacuated")
+	}
+	m.put(Evacuations, "a", Evacuation{DataCentre: "a"})
+	m.delete(Evacuations, "a")
+	m.setDown(false)
+	waitFor(t, "the data centre is in service again", func() bool { return !g.Get().Roster.Evacuated("a") })
+}
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -130,10 +130,13 @@
 // follow lists a kind and then watches it until the context ends.
 func (f *Follower) follow(ctx context.Context, k Kind) {
 	_, asOf := f.catalog.Positions()
-	since := asOf[k]
+	since, failed := asOf[k], Position{}
 	for ctx.Err() == nil {
 		f.waitForStore(ctx, k)
 		if !since.Known() || since.Era < f.currentEra() {
+			since = f.resumeFrom(k, failed)
+		}
+		if !since.Known() {
 			var err error
 			if since, err = f.List(ctx, k, Current); err != nil {
 				f.recordResult(ctx, k, err)
@@ -146,10 +149,22 @@
 				continue
 			}
 		}
+		failed = since
 		since = f.watch(ctx, k, since)
 	}
 }
 
+// resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if it
+// is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed. Unlike
+// a listing, a watch also shows what has been written and undone since then.
+func (f *Follower) resumeFrom(k Kind, failed Position) Position {
+	_, asOf := f.catalog.Positions()
+	if p := asOf[k]; failed.Known() && failed.Before(p) && p.Era >= f.currentEra() {
+		return p
+	}
+	return Position{}
+}
+
 // errEraChanged means that the store has come back from an older copy between two pages of a listing.
 var errEraChanged = errors.New("catalog: the store's era has changed during a listing")
 
