--- a/process/catalog/era_test.go
+++ b/process/catalog/era_test.go
@@ -324,9 +324,9 @@
 	}
 }
 
-// TestReaderSeesUndoneWritesOfNewEra checks that a reader of the store that learned of a new era from another reader, and
-// gets through to the store only later, sees that an evacuation has been written and taken back in the meantime. A listing
-// would not show that.
+// TestReaderSeesUndoneWritesOfNewEra checks that a reader of the store that learned of a new era from another reader,
+// and gets through to the store only later, sees that an evacuation has been written and taken back in the meantime. A
+// listing would not show that.
 func TestReaderSeesUndoneWritesOfNewEra(t *testing.T) {
 	m := newFakeStore()
 	c := clock.New()
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -155,8 +155,8 @@
 }
 
 // resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if it
-// is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed. Unlike
-// a listing, a watch also shows what has been written and undone since then.
+// is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
+// Unlike a listing, a watch also shows what has been written and undone since then.
 func (f *Follower) resumeFrom(k Kind, failed Position) Position {
 	_, asOf := f.catalog.Positions()
 	if p := asOf[k]; failed.Known() && failed.Before(p) && p.Era >= f.currentEra() {
