--- a/bench/relay/relay.go
+++ b/bench/relay/relay.go
@@ -56,6 +56,11 @@
 	return r, nil
 }
 
+// Address returns the address on which the relay listens.
+func (r *Relay) Address() ident.Address {
+	return ident.Address(r.listener.Addr().String())
+}
+
 // SetCut cuts the two sides off from each other, without closing connections, or connects them again. Connections that
 // were open during the cut are closed when it ends.
 func (r *Relay) SetCut(cut bool) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -69,15 +69,17 @@
 	draining atomic.Bool
 }
 
-// New returns a gateway that reads the store src; droppedLines returns the number of log lines dropped so far.
+// New returns a gateway that reads the store src and opens connections to targets with dial; droppedLines returns the
+// number of log lines dropped so far.
 func New(
-	s *Settings, src catalog.Source, h *exchange.Headers, c clock.Clock, l zerolog.Logger, droppedLines func() uint64,
+	s *Settings, src catalog.Source, h *exchange.Headers, dial pool.Dial, c clock.Clock, l zerolog.Logger,
+	droppedLines func() uint64,
 ) *Gateway {
 	registry := prometheus.NewRegistry()
 	src = newInstrumentedSource(src, registry)
 	g := catalog.New(c, l)
 	bodies := exchange.NewBodyBudget(ident.Bytes(bodyShare * float64(s.Memory)))
-	set := upstream.NewSet(c, l, h, bodies, pool.DialTCP)
+	set := upstream.NewSet(c, l, h, bodies, dial)
 	r := catalog.NewFollower(g, src, c, l)
 	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
 	bound := fleet.WarmupRateBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -31,8 +31,10 @@
 	runLog   *target.RunLog
 	targets  []*target.Target
 	settings *gateway.Settings
-	stop     context.CancelFunc
-	done     chan error
+	// link is the way of this VM to the targets.
+	link *targetLink
+	stop context.CancelFunc
+	done chan error
 }
 
 const configuration = `{"version":%d,"services":[{"name":"book","health-path":"/health","max-conns":50}],
@@ -66,23 +68,30 @@
 		b.targets = append(b.targets, g)
 		b.register(t, g, false)
 	}
-	b.start(t, "vm-1", ident.Address(strings.TrimPrefix(h.URL, "http://")))
+	b.start(t, "vm-1", "a", ident.Address(strings.TrimPrefix(h.URL, "http://")))
 	return b
 }
 
-// addGateway returns another gateway of the same fleet, with the same store and targets.
+// addGateway returns another gateway of the same fleet in data centre a, with the same store and targets.
 func (b *testGateway) addGateway(t *testing.T, name ident.VM) *testGateway {
+	t.Helper()
+	return b.addGatewayIn(t, name, "a")
+}
+
+// addGatewayIn returns another gateway of the same fleet in a data centre.
+func (b *testGateway) addGatewayIn(t *testing.T, name ident.VM, z ident.DataCentre) *testGateway {
 	t.Helper()
 	a := &testGateway{store: b.store, runLog: b.runLog, targets: b.targets, done: make(chan error, 1)}
-	a.start(t, name, b.settings.StoreAddress)
+	a.start(t, name, z, b.settings.StoreAddress)
 	return a
 }
 
 // start starts the gateway and waits until it is ready.
-func (b *testGateway) start(t *testing.T, name ident.VM, store ident.Address) {
+func (b *testGateway) start(t *testing.T, name ident.VM, z ident.DataCentre, store ident.Address) {
 	t.Helper()
+	b.link = newTargetLink(t)
 	b.settings = &gateway.Settings{
-		Name: name, DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
+		Name: name, DataCentre: z, CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
 		StoreAddress: store,
 		Grace:        3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second},
@@ -90,7 +99,7 @@
 	}
 	c := clock.New()
 	st := platform.NewStore(b.settings.StoreAddress, http.DefaultClient, c)
-	g := gateway.New(b.settings, st, &platform.Headers, c, zerolog.Nop(), func() uint64 { return 0 })
+	g := gateway.New(b.settings, st, &platform.Headers, b.link.dial, c, zerolog.Nop(), func() uint64 { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
 	t.Cleanup(cancel)
