--- a/connection/upstream/trust.go
+++ b/connection/upstream/trust.go
@@ -91,17 +91,19 @@
 	return regained
 }
 
-// recordFailure records a failed request and reports whether it ejects the target.
+// recordFailure records a failed request and reports whether it ejects a target that was trusted. Further failures of
+// an ejected target only prolong its ejection.
 func (t *trust) recordFailure(now clock.Instant) bool {
 	t.trialInFlight = false
 	t.consecutiveFailures++
-	if t.consecutiveFailures < failuresToEject && t.machine.Current() == trusted {
+	wasTrusted := t.machine.Current() == trusted
+	if t.consecutiveFailures < failuresToEject && wasTrusted {
 		return false
 	}
 	t.ejectedUntil = now.Add(min(minEjectionTime<<min(t.consecutiveEjections, 8), maxEjectionTime))
 	t.consecutiveEjections++
 	t.fire(eventEject)
-	return true
+	return wasTrusted
 }
 
 // recordInconclusive records the end of a request that says nothing about the health of the target.
--- a/connection/upstream/trust_test.go
+++ b/connection/upstream/trust_test.go
@@ -75,3 +75,21 @@
 		}
 	})
 }
+
+// TestEjectionReportedOnce checks that only the failure that ends the trust is reported, so that a target that stays
+// away does not fill the log.
+func TestEjectionReportedOnce(t *testing.T) {
+	c := clock.NewFake()
+	n := newTrust()
+	reported := 0
+	for range 100 {
+		if n.recordFailure(c.Now()) {
+			reported++
+		}
+		c.Advance(minEjectionTime)
+		n.usable(c.Now())
+	}
+	if reported != 1 {
+		t.Errorf("reported %d ejections, want 1", reported)
+	}
+}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -242,7 +242,7 @@
 	l := u.log.Info().Str("Target", string(u.Target.ID)).Str("Service", string(u.Target.Service))
 	if failed {
 		if u.trust.recordFailure(now) {
-			l.Int("Status", r.Status).Int("Ejections", u.trust.consecutiveEjections).Msg("target ejected: request failed")
+			l.Int("Status", r.Status).Msg("target ejected: request failed")
 		}
 		return
 	}
