Send requests through other VMs while no target responds (recover)

What callers saw: VMs without a path to any target answered 503 to all requests (0 of 272 and 0 of 137 at the first attempt), although every other VM reached the targets.

Cause: a VM sent requests only to targets that it reaches itself; nothing passed a request to another VM. Ruled out: ejection kept no reachable target out (each dial was refused), and connections that hang held requests for the first seconds only.

Now contacts with targets show whether this VM is partitioned from a service (connection/partition: three targets silent since the last response of any). Then it asks a few members at a time what they reach, probes one target each 100 ms, and sends each request through a member that reaches the service (request/detour, connection/peer). That member chooses the target with its own limits on probes, cold targets, pauses, limits and quarantine, and never uses a third VM. The request keeps its deadline, its objective and the attempts that its route has left; only a request that may have arrived before costs a retry; one that is not idempotent is never sent again.

--- a/bench/soak/vm.go
+++ b/bench/soak/vm.go
@@ -22,7 +22,8 @@
 	callerPort = 7100
 	readyPort  = 7101
 	peerPort   = 7102
-	storePort  = 7103
+	// The port after peerPort accepts requests of other VMs.
+	storePort = 7104
 )
 
 // vm is one gateway process, which reaches the store through a relay.
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -156,12 +156,15 @@
 	return outcome.Unreachable
 }
 
-// ErrNotRunning is the context cause with which a sender ends an exchange when the target turns out not to run the
-// request.
-var ErrNotRunning = errors.New("exchange: the target is not running the request")
+// The context causes with which a sender ends an exchange: the target turns out not to run the request, or no response
+// can arrive.
+var (
+	ErrNotRunning = errors.New("exchange: the target is not running the request")
+	ErrNoPath     = errors.New("exchange: there is no path to the target")
+)
 
 func reasonOfContextEnd(ctx context.Context) outcome.Reason {
-	if errors.Is(context.Cause(ctx), ErrNotRunning) {
+	if c := context.Cause(ctx); errors.Is(c, ErrNotRunning) || errors.Is(c, ErrNoPath) {
 		return outcome.Silent
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/connection/peer/header.go
+++ b/connection/peer/header.go
@@ -19,7 +19,7 @@
 var internalHeaders = []string{
 	call.HeaderService, call.HeaderClass, call.HeaderShard, call.HeaderEpoch, call.HeaderEvent, call.HeaderMember,
 	call.HeaderLoad, call.HeaderAttempt, call.HeaderDeadline, call.HeaderRequestID,
-	call.HeaderExchangeID,
+	call.HeaderExchangeID, call.HeaderObjective, call.HeaderMaxAttempts,
 	call.HeaderMessage, call.HeaderRetryAfterMs,
 }
 
@@ -30,8 +30,12 @@
 	}
 }
 
-func encodeCall(c *call.Call) http.Header {
+func encodeCall(c *call.Call, now clock.Instant) http.Header {
 	h := c.Header.Clone()
+	if _, ok := h["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding one of its own, which would reach the upstream.
+		h["User-Agent"] = []string{""}
+	}
 	h.Set(call.HeaderService, string(c.Service))
 	k := string(c.Class) + ";" + strconv.Itoa(int(c.Weight))
 	if c.Idempotent {
@@ -39,18 +43,35 @@
 	}
 	h.Set(call.HeaderClass, k)
 	h.Set(call.HeaderShard, string(c.Shard))
+	if c.Objective != 0 {
+		h.Set(call.HeaderObjective, strconv.FormatInt(max(c.Objective.Sub(now).Milliseconds(), 0), 10))
+	}
+	if c.MaxAttempts > 0 {
+		h.Set(call.HeaderMaxAttempts, strconv.Itoa(c.MaxAttempts))
+	}
 	return h
 }
 
+// parseClass parses the class header. The name of a class may contain the separator itself.
+func parseClass(v string) (n ident.Class, w ident.Weight, idempotent bool) {
+	v, idempotent = strings.CutSuffix(v, idempotentSuffix)
+	i := strings.LastIndex(v, ";")
+	if i < 0 {
+		return ident.Class(v), 0, idempotent
+	}
+	return ident.Class(v[:i]), ident.Weight(atoi(v[i+1:])), idempotent
+}
+
 func decodeCall(r *http.Request, body []byte, now clock.Instant) *call.Call {
 	h := r.Header.Clone()
-	k := strings.SplitN(h.Get(call.HeaderClass), ";", 3)
+	class, weight, idempotent := parseClass(h.Get(call.HeaderClass))
 	c := &call.Call{
 		ID:         ident.Request(h.Get(call.HeaderRequestID)),
 		Service:    ident.Service(h.Get(call.HeaderService)),
-		Class:      ident.Class(k[0]),
+		Class:      class,
+		Weight:     weight,
 		Shard:      ident.Shard(h.Get(call.HeaderShard)),
-		Idempotent: len(k) == 3,
+		Idempotent: idempotent,
 		Attempt:    ident.Attempt(atoi(h.Get(call.HeaderAttempt))),
 		Key:        ident.Key(h.Get(call.HeaderKey)),
 		Deadline:   now.Add(time.Duration(atoi(h.Get(call.HeaderDeadline))) * time.Millisecond),
@@ -59,9 +80,10 @@
 		Host:       r.Host,
 		Body:       body,
 	}
-	if len(k) > 1 {
-		c.Weight = ident.Weight(atoi(k[1]))
+	if v := h.Get(call.HeaderObjective); v != "" {
+		c.Objective = now.Add(time.Duration(atoi(v)) * time.Millisecond)
 	}
+	c.MaxAttempts = atoi(h.Get(call.HeaderMaxAttempts))
 	StripHeaders(h)
 	c.Header = h
 	return c
@@ -79,6 +101,14 @@
 	h.Set(call.HeaderEpoch, a.Epoch.String())
 	h.Set(call.HeaderMember, string(a.Upstream))
 	h.Set(call.HeaderRetryAfterMs, strconv.FormatInt(a.RetryAfter.Milliseconds(), 10))
+	for _, n := range []string{"Connection", "Keep-Alive"} {
+		// They concern the upstream's connection.
+		h.Del(n)
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a type that the upstream did not send.
+		h["Content-Type"] = nil
+	}
 }
 
 func decodeAnswer(status int, h http.Header, body []byte) call.Answer {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -42,7 +42,7 @@
 // Forward has a call run by the member with the given peer address. If the response is lost, the answer has an
 // OwnerUnresponsive event.
 func (c *Client) Forward(ctx context.Context, a ident.Address, k *call.Call) call.Answer {
-	h := encodeCall(k)
+	h := encodeCall(k, c.clock.Now())
 	x := c.exchanger(a).Do(ctx, k, h, func() outcome.Reason { return "" })
 	switch e := x.Event.(type) {
 	case outcome.NeverWritten:
--- a/connection/upstream/limit_test.go
+++ b/connection/upstream/limit_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -15,7 +16,7 @@
 )
 
 func newLimitedUpstream(c clock.Clock) *Upstream {
-	s := NewSet(c, zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP)
+	s := NewSet(c, zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP, partition.New())
 	return s.Get(roster.Target{ID: "t", Service: "s", Address: "127.0.0.1:1"}, 0)
 }
 
@@ -79,7 +80,8 @@
 // TestLimitOutlivesRegistration checks that a target that comes back after its registration has expired is still known
 // to have named a limit.
 func TestLimitOutlivesRegistration(t *testing.T) {
-	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP)
+	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP,
+		partition.New())
 	g := roster.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", StartedAtMs: 7}
 	s.Get(g, 0).recordNotice(exchange.Notice{Limited: true, Limit: 2}, nil)
 	s.RetainRegistered(roster.New(nil, nil))
--- a/connection/upstream/notice_test.go
+++ b/connection/upstream/notice_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/version/roster"
@@ -47,7 +48,8 @@
 // TestNoticesOutliveRegistration checks that a target that has announced that it leaves gets no requests after its
 // registration has expired and come back, but that its next incarnation does.
 func TestNoticesOutliveRegistration(t *testing.T) {
-	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP)
+	s := NewSet(clock.NewFake(), zerolog.Nop(), &exchange.Headers{}, exchange.NewBodyBudget(0), pool.DialTCP,
+		partition.New())
 	g := roster.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", StartedAtMs: 7}
 	s.Get(g, 0).recordNotice(exchange.Notice{Leaving: true}, nil)
 	s.RetainRegistered(roster.New(nil, nil))
--- a/connection/upstream/set.go
+++ b/connection/upstream/set.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -31,6 +32,8 @@
 	headers *exchange.Headers
 	bodies  *exchange.BodyBudget
 	dial    pool.Dial
+	// contacts records which services respond to this VM.
+	contacts *partition.Detector
 
 	mu sync.Mutex
 	// all holds the upstream of each incarnation, because nothing known of one holds for the next.
@@ -41,11 +44,13 @@
 	departures []roster.Incarnation
 }
 
-// NewSet returns an empty set whose upstreams open connections with the given dial function and share the budget b for
-// the bodies of their responses.
-func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, b *exchange.BodyBudget, d pool.Dial) *Set {
+// NewSet returns an empty set whose upstreams open connections with the given dial function, share the budget b for
+// the bodies of their responses, and record in p whether targets respond.
+func NewSet(c clock.Clock, l zerolog.Logger, h *exchange.Headers, b *exchange.BodyBudget, d pool.Dial,
+	p *partition.Detector,
+) *Set {
 	return &Set{
-		clock: c, log: l, headers: h, bodies: b, dial: d,
+		clock: c, log: l, headers: h, bodies: b, dial: d, contacts: p,
 		all: map[roster.Incarnation]*Upstream{}, departed: map[roster.Incarnation]notices{},
 	}
 }
@@ -73,7 +78,7 @@
 		p := exchange.NewPool(t.Address, limit, s.dial, s.clock)
 		u = &Upstream{
 			Target: t, clock: s.clock, log: s.log, trust: newTrust(), notices: s.noticesOf(k),
-			limitPhase: ident.Share(rand.Float64()),
+			contacts: s.contacts, limitPhase: ident.Share(rand.Float64()),
 		}
 		u.client = exchange.NewTargetClient(t.ID, t.Address, p, s.clock, s.headers, s.bodies, u.recordNotice)
 		s.all[k] = u
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -22,6 +24,8 @@
 	client *exchange.TargetClient
 	clock  clock.Clock
 	log    zerolog.Logger
+	// contacts records whether the target responds.
+	contacts *partition.Detector
 
 	mu       sync.Mutex
 	trust    *trust
@@ -40,7 +44,14 @@
 
 // Probe requests a load report from the target. The returned connection, unless nil, may carry a request.
 func (u *Upstream) Probe(ctx context.Context, path string) (exchange.Report, *pool.Conn, error) {
+	began := u.clock.Now()
 	r, n, err := u.client.Probe(ctx, path)
+	switch {
+	case err == nil:
+		u.contacts.Answered(u.Target.Service, u.clock.Now())
+	case !errors.Is(err, pool.ErrFull):
+		u.contacts.Failed(u.Target.Service, u.Target.ID, began)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if err != nil {
@@ -64,7 +75,9 @@
 
 // Do sends a call and updates the trust in the target by its result.
 func (u *Upstream) Do(ctx context.Context, n *pool.Conn, c *call.Call, check func() outcome.Reason) exchange.Result {
+	began := u.clock.Now()
 	r := u.client.Do(ctx, n, c, check)
+	u.recordContact(r.Event, began)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
@@ -72,6 +85,19 @@
 	return r
 }
 
+// recordContact records whether the target has responded to a request that began at the given instant. A connection
+// that breaks shows neither: the target may have crashed.
+func (u *Upstream) recordContact(e outcome.Event, began clock.Instant) {
+	switch v := e.(type) {
+	case outcome.Completed, outcome.Refused:
+		u.contacts.Answered(u.Target.Service, u.clock.Now())
+	case outcome.NeverWritten:
+		if v.Reason == outcome.Unreachable {
+			u.contacts.Failed(u.Target.Service, u.Target.ID, began)
+		}
+	}
+}
+
 // Reserve counts a request that is about to be sent. Each Reserve must be followed by Do.
 func (u *Upstream) Reserve() {
 	u.mu.Lock()
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -104,8 +104,7 @@
 		}
 		d := &wire.Digest{}
 		err = proto.Unmarshal(b[:n], d)
-		if err == nil && d.GetQuarantine() != nil {
-			f.handleQuarantine(d.GetQuarantine(), ident.Address(d.GetAddress()))
+		if err == nil && f.handleMessage(d) {
 			continue
 		}
 		if err != nil || len(d.GetChanged()) != int(catalog.KindCount) ||
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -91,6 +91,8 @@
 	log             zerolog.Logger
 	// handleQuarantine gets the messages on requests that crash targets.
 	handleQuarantine func(*wire.QuarantineNews, ident.Address)
+	// handleReach gets the messages on partitions from targets.
+	handleReach func(*wire.ReachNews, ident.Address)
 
 	// fetchCount counts successful fetches of updates.
 	fetchCount atomic.Uint64
@@ -137,7 +139,8 @@
 	return &Fleet{
 		self: m, linkMbps: linkMbps, firstStart: firstStart, warmupRateBound: b, catalog: g, follower: f, source: s,
 		clock: c, log: l, handleQuarantine: func(*wire.QuarantineNews, ident.Address) {},
-		fetchQueue: ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
+		handleReach: func(*wire.ReachNews, ident.Address) {},
+		fetchQueue:  ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
 		readers: map[ident.VM]readerState{},
 	}
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/connection/upstream"
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -27,6 +28,7 @@
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/process/fleet"
 	"github.com/amaranthramp/amaranthramp/request/candidate"
+	"github.com/amaranthramp/amaranthramp/request/detour"
 	"github.com/amaranthramp/amaranthramp/request/quarantine"
 	"github.com/amaranthramp/amaranthramp/request/relay"
 	"github.com/amaranthramp/amaranthramp/request/retry"
@@ -58,6 +60,8 @@
 	follower     *catalog.Follower
 	fleet        *fleet.Fleet
 	upstreams    *upstream.Set
+	chooser      *candidate.Chooser
+	detours      *detour.Router
 	relay        *relay.Relay
 	retries      *retry.SlidingWindow
 	quarantine   *quarantine.Table
@@ -79,9 +83,13 @@
 	src = newInstrumentedSource(src, registry)
 	g := catalog.New(c, l)
 	bodies := exchange.NewBodyBudget(ident.Bytes(bodyShare * float64(s.Memory)))
-	set := upstream.NewSet(c, l, h, bodies, dial)
+	detector := partition.New()
+	set := upstream.NewSet(c, l, h, bodies, dial, detector)
 	r := catalog.NewFollower(g, src, c, l)
-	m := roster.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Capacity: s.Capacity()}
+	m := roster.Member{
+		Name: s.Name, Address: s.PeerAddress, ForwardAddress: s.ForwardAddress, DataCentre: s.DataCentre,
+		Capacity: s.Capacity(),
+	}
 	bound := fleet.WarmupRateBound{Factor: s.WarmupFactor, Slack: s.WarmupSlack}
 	f := fleet.New(m, s.LinkMbps, s.FirstStart, bound, g, r, src, c, l)
 	w := warmup.New(c, f.WarmupSenders)
@@ -89,12 +97,14 @@
 	b := retry.NewSlidingWindow(c, s.Retry.Share, slack, s.Retry.Window)
 	q := quarantine.New(c, quarantineDeaths)
 	f.HandleQuarantine(func(m *wire.QuarantineNews, from ident.Address) { q.Handle(m, from, f) })
+	chooser := candidate.New(g, set, s.Name, s.DataCentre, w, f, s.ProbeRate, c, l)
+	d := detour.New(g, detector, f, c, l)
 	y := &Gateway{
-		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set,
-		relay:      relay.New(g, candidate.New(g, set, s.Name, s.DataCentre, w, f, s.ProbeRate, c, l), b, q, c, l),
-		quarantine: q,
-		retries:    b, registry: registry, headers: h, droppedLines: droppedLines,
+		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set, chooser: chooser, detours: d,
+		relay: relay.New(g, chooser, d, b, q, c, l), quarantine: q,
+		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
 	}
+	f.HandleReach(func(m *wire.ReachNews, from ident.Address) { d.Handle(m, from, y.acceptsForwarded()) })
 	y.registry.MustRegister(collectors.NewGoCollector())
 	y.metrics = newMetrics(y.registry, y)
 	return y
@@ -121,8 +131,12 @@
 		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReadiness)},
 		{g.settings.OperatorAddress, g.operatorHandler()},
 	}
-	errs := make(chan error, len(servers)+2)
+	errs := make(chan error, len(servers)+3)
 	go func() { errs <- callers.serve() }()
+	forwarded, err := g.serveForwarded(errs)
+	if err != nil {
+		return err
+	}
 	for _, s := range servers {
 		l, err := net.Listen("tcp", string(s.address))
 		if err != nil {
@@ -141,6 +155,7 @@
 		}
 	}()
 	go g.quarantine.Gossip(background, g.fleet)
+	go g.detours.Run(background, g.chooser)
 	go g.followCatalog(background, callers)
 	go g.handleReload(background)
 	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
@@ -149,7 +164,7 @@
 	case err := <-errs:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
-		return g.stop(callers)
+		return g.stop(callers, forwarded)
 	}
 }
 
@@ -223,14 +238,14 @@
 )
 
 // stop performs the planned stop: it reports not ready, accepts connections for as long as the platform's load balancer
-// may still send some, then finishes the requests in flight.
-func (g *Gateway) stop(s *callerServer) error {
+// may still send some, then finishes the requests in flight, those from other VMs too.
+func (g *Gateway) stop(s *callerServer, forwarded *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-shutdownMargin)
 	defer cancel()
 	g.draining.Store(true)
 	g.log.Info().Msg("planned stop begins")
 	time.Sleep(min(notReadyTime, g.settings.Grace/2))
-	err := s.shutdown(ctx)
+	err := errors.Join(s.shutdown(ctx), forwarded.Shutdown(ctx))
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn().Msg("planned stop ends with requests in flight")
 		return nil
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -92,7 +92,7 @@
 	b.link = newTargetLink(t)
 	b.settings = &gateway.Settings{
 		Name: name, DataCentre: z, CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
-		PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+		PeerAddress: freeAddress(t), ForwardAddress: freeAddress(t), OperatorAddress: freeAddress(t),
 		StoreAddress: store,
 		Grace:        3 * time.Second, Retry: gateway.RetryBound{Share: 0.2, Slack: 20, Window: 10 * time.Second},
 		ProbeRate: 60, Memory: 200 << 20,
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -20,6 +20,8 @@
 	ReadyAddress ident.Address
 	// PeerAddress exchanges updates with the other VMs, over UDP and TCP.
 	PeerAddress ident.Address
+	// ForwardAddress accepts callers' requests from VMs that have no path to the targets; if empty, this VM accepts none.
+	ForwardAddress ident.Address
 	// OperatorAddress serves metrics and the dump.
 	OperatorAddress ident.Address
 	// StoreAddress is the address of the store.
@@ -67,6 +69,12 @@
 	return int(math.Log2(n))
 }
 
+// namedAddress is an address with the name that errors use for it.
+type namedAddress struct {
+	name  string
+	value ident.Address
+}
+
 // Check returns an error that lists all invalid settings, or nil.
 func (s *Settings) Check() error {
 	var l []error
@@ -76,16 +84,16 @@
 	if s.DataCentre == "" {
 		l = append(l, errors.New("data centre of the VM is missing"))
 	}
-	addresses := []struct {
-		name  string
-		value ident.Address
-	}{
+	addresses := []namedAddress{
 		{"caller address", s.CallerAddress},
 		{"ready address", s.ReadyAddress},
 		{"peer address", s.PeerAddress},
 		{"operator address", s.OperatorAddress},
 		{"store address", s.StoreAddress},
 	}
+	if s.ForwardAddress != "" {
+		addresses = append(addresses, namedAddress{"forward address", s.ForwardAddress})
+	}
 	for _, a := range addresses {
 		if p, err := netip.ParseAddrPort(string(a.value)); err != nil || p.Port() == 0 {
 			l = append(l, fmt.Errorf("%s %q is not an IP address and port", a.name, a.value))
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -22,11 +22,16 @@
 	Attempt  ident.Attempt
 	Key      ident.Key
 	Deadline clock.Instant
-	Method   string
-	Path     string
-	Host     string
-	Header   http.Header
-	Body     []byte
+	// Objective is the time after which the response begins to lose value, and MaxAttempts is how many targets the call
+	// may still be sent to; zero means that the receiver's own rules apply. A gateway sets them on a call that it sends
+	// through another VM.
+	Objective   clock.Instant
+	MaxAttempts int
+	Method      string
+	Path        string
+	Host        string
+	Header      http.Header
+	Body        []byte
 }
 
 // Answer is the response to a call.
--- a/request/call/header.go
+++ b/request/call/header.go
@@ -26,6 +26,10 @@
 	HeaderClass   = "Amaranthramp-Class"
 	HeaderShard   = "Amaranthramp-Shard"
 	HeaderEpoch   = "Amaranthramp-Epoch"
+	// HeaderObjective holds the milliseconds left until the response begins to lose value, and HeaderMaxAttempts how many
+	// targets the call may still be sent to.
+	HeaderObjective   = "Amaranthramp-Objective-Ms"
+	HeaderMaxAttempts = "Amaranthramp-Max-Attempts"
 	// HeaderEvent names the event of package outcome that ended the last attempt.
 	HeaderEvent  = "Amaranthramp-Event"
 	HeaderMember = "Amaranthramp-Member"
--- a/request/candidate/chooser.go
+++ b/request/candidate/chooser.go
@@ -108,6 +108,8 @@
 	WaitUntil clock.Instant
 	// Deadline is when the response is due.
 	Deadline clock.Instant
+	// ProbedOnly makes the choice fail at once if no target answers a probe, instead of choosing one anyway.
+	ProbedOnly bool
 }
 
 // maxLateShare is the largest share of the time left until the deadline that a target's expected latency may take if no
@@ -132,9 +134,11 @@
 	Conn     *pool.Conn
 	// Report is the target's report, on which the choice is based; zero if the target was chosen without one.
 	Report exchange.Report
-	// Probed is the number of targets probed, including those of earlier unsuccessful rounds.
-	Probed int
-	Score  float64
+	// Probed is the number of targets probed, including those of earlier unsuccessful rounds, and Answered the number of
+	// them that answered in time.
+	Probed   int
+	Answered int
+	Score    float64
 	// Limited is whether the request has been counted towards a limit that the target names.
 	Limited bool
 	// RetryAfter is, if there is no target because all have asked for a pause or take no more requests from this VM at
@@ -170,43 +174,51 @@
 // Choose returns the target for a request, or the reason why there is none.
 func (c *Chooser) Choose(ctx context.Context, q *Query) (Choice, outcome.Reason) {
 	l := c.limiters.get(q.Service.Name, c.clock.Now(), c.probeRate)
-	probed := 0
+	var h Choice
 	for {
 		ok, held := l.acquireTurn(ctx, c.clock, q.WaitUntil)
-		s, n, hasTargets := (*probeResult)(nil), 0, true
+		s, n, hasTargets := (*probeResult)(nil), probeCount{}, true
 		if ok {
 			s, n, hasTargets = c.tryChoose(ctx, q, l)
 		}
 		if held {
 			l.releaseTurn()
 		}
-		probed += n
+		h.Probed += n.probed
+		h.Answered += n.answered
 		switch {
 		case s != nil:
-			return Choice{
-				Upstream: s.upstream, Conn: s.conn, Report: s.report, Probed: probed, Score: s.score, Limited: s.limited,
-			}, ""
+			h.Upstream, h.Conn, h.Report, h.Score, h.Limited = s.upstream, s.conn, s.report, s.score, s.limited
+			return h, ""
 		case !hasTargets:
 			d := c.unavailableFor(q.Service.Name)
 			if d > 0 && c.clock.Now().Add(d) <= q.WaitUntil && clock.Sleep(ctx, d) {
 				continue
 			}
-			return noTarget(probed, d)
+			return h.withoutTarget(d)
 		case ctx.Err() != nil:
-			return Choice{Probed: probed}, outcome.Cancelled
+			return h, outcome.Cancelled
+		case q.ProbedOnly && h.Answered == 0:
+			return h, outcome.Unreachable
 		case c.clock.Now() >= q.WaitUntil:
-			return Choice{Probed: probed}, outcome.Overload
+			return h, outcome.Overload
 		}
 	}
 }
 
-// noTarget returns the result for a service without an eligible target. If all its targets take no requests from this
-// VM for a time, that time is positive.
-func noTarget(probed int, unavailableFor time.Duration) (Choice, outcome.Reason) {
+// Unanswered reports whether targets were probed and none answered in time.
+func (h *Choice) Unanswered() bool {
+	return h.Probed > 0 && h.Answered == 0
+}
+
+// withoutTarget returns the result for a service without an eligible target. If all its targets take no requests from
+// this VM for a time, that time is positive.
+func (h Choice) withoutTarget(unavailableFor time.Duration) (Choice, outcome.Reason) {
 	if unavailableFor > 0 {
-		return Choice{Probed: probed, RetryAfter: unavailableFor}, outcome.Overload
+		h.RetryAfter = unavailableFor
+		return h, outcome.Overload
 	}
-	return Choice{Probed: probed}, outcome.NoTarget
+	return h, outcome.NoTarget
 }
 
 // unavailableFor returns when the first target of a service takes requests from this VM again, if all of them leave,
@@ -231,11 +243,11 @@
 // tryChoose tries once to choose a target, and counts the request as in flight there, so that concurrent choices take
 // it into account. The result hasTargets is false if the service has no eligible target at all.
 func (c *Chooser) tryChoose(ctx context.Context, q *Query, l *probeLimiter) (
-	s *probeResult, probed int, hasTargets bool,
+	s *probeResult, probed probeCount, hasTargets bool,
 ) {
 	k := c.eligible(q)
 	if len(k) == 0 {
-		return nil, 0, false
+		return nil, probed, false
 	}
 	s, probed = c.probeCandidates(ctx, q, l, k)
 	if s != nil && s.hasCapacity && q.fastEnough(c.clock.Now(), s.score) &&
@@ -298,21 +310,52 @@
 	if !u.RecheckDue(max(time.Duration(float64(time.Second)/perTarget), minRecheckInterval)) {
 		return
 	}
+	c.probeInBackground(u, path)
+}
+
+// probeInBackground probes a target only for what the probe shows of the target itself.
+func (c *Chooser) probeInBackground(u *upstream.Upstream, path string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		_, n, err := u.Probe(ctx, path)
 		if err != nil {
-			c.log.Debug().Str("Target", string(u.Target.ID)).Err(err).Msg("could not probe target for its limit")
+			c.log.Debug().Str("Target", string(u.Target.ID)).Err(err).Msg("could not probe target in the background")
 		}
 		u.Release(n)
 	}()
 }
 
+// Recheck probes a target of a service at random in the background, within the limit on probes, to find out whether
+// this VM reaches it.
+func (c *Chooser) Recheck(s route.Service) {
+	l := c.eligible(&Query{Service: s})
+	n := c.limiters.get(s.Name, c.clock.Now(), c.probeRate)
+	if len(l) == 0 || n.take(c.clock.Now(), c.rate(l), 1) == 0 {
+		return
+	}
+	c.probeInBackground(l[rand.IntN(len(l))].upstream, s.HealthPath)
+}
+
+// rate returns this VM's part of the probe rate of the candidates.
+func (c *Chooser) rate(l []candidate) float64 {
+	return c.probeRate * float64(len(l)) / float64(max(c.fleet.Members(), 1))
+}
+
+// probeCount is how many targets were probed, and how many of them answered in time.
+type probeCount struct{ probed, answered int }
+
+func (n *probeCount) add(o probeCount) {
+	n.probed += o.probed
+	n.answered += o.answered
+}
+
 // probeCandidates probes candidates, local ones first, and returns the best and the number of candidates probed. It
 // releases the connections to the others.
-func (c *Chooser) probeCandidates(ctx context.Context, q *Query, n *probeLimiter, l []candidate) (*probeResult, int) {
-	rate := c.probeRate * float64(len(l)) / float64(max(c.fleet.Members(), 1))
+func (c *Chooser) probeCandidates(ctx context.Context, q *Query, n *probeLimiter, l []candidate) (
+	*probeResult, probeCount,
+) {
+	rate := c.rate(l)
 	var local, remote []candidate
 	for _, k := range l {
 		if k.target.DataCentre == c.dataCentre {
@@ -329,7 +372,7 @@
 		return best, probed
 	}
 	other, m := c.probeAll(ctx, q, sample(remote, n.take(c.clock.Now(), rate, min(len(remote), remoteProbes))))
-	probed += m
+	probed.add(m)
 	if other != nil {
 		other.score *= remotePenalty
 	}
@@ -337,7 +380,10 @@
 	if rest != nil {
 		rest.upstream.Release(rest.conn)
 	}
-	if saturated, _ := n.saturation(); b == nil && ctx.Err() == nil && (!saturated || probed > 0) {
+	if q.ProbedOnly && probed.answered == 0 {
+		return nil, probed
+	}
+	if saturated, _ := n.saturation(); b == nil && ctx.Err() == nil && (!saturated || probed.probed > 0) {
 		// No target reported itself healthy in time. Choose one anyway, since a health check may fail where requests
 		// would succeed. Do not do so if the service is saturated and the probes were merely withheld by the rate
 		// limit.
@@ -397,12 +443,19 @@
 	return l[:min(n, len(l))]
 }
 
+// probeAnswer is the end of one probe: with an answer, and with a result if the target is healthy.
+type probeAnswer struct {
+	answered bool
+	result   *probeResult
+}
+
 // probeAll probes the candidates concurrently and returns the best one whose report arrived within reportWait.
-func (c *Chooser) probeAll(ctx context.Context, q *Query, l []candidate) (*probeResult, int) {
+func (c *Chooser) probeAll(ctx context.Context, q *Query, l []candidate) (*probeResult, probeCount) {
+	n := probeCount{probed: len(l)}
 	if len(l) == 0 {
-		return nil, 0
+		return nil, n
 	}
-	results := make(chan *probeResult)
+	results := make(chan probeAnswer)
 	done := make(chan struct{})
 	defer close(done)
 	for _, k := range l {
@@ -413,9 +466,12 @@
 	var best *probeResult
 	for range l {
 		select {
-		case s := <-results:
+		case a := <-results:
+			if a.answered {
+				n.answered++
+			}
 			var rest *probeResult
-			if best, rest = pickBetter(best, s); rest != nil {
+			if best, rest = pickBetter(best, a.result); rest != nil {
 				rest.upstream.Release(rest.conn)
 			}
 			continue
@@ -424,21 +480,21 @@
 		}
 		break
 	}
-	return best, len(l)
+	return best, n
 }
 
 // probe probes one candidate and passes the result to the choice if that is still waiting for it. The probe continues
 // if the request is cancelled, because aborting it would close its connection.
-func (c *Chooser) probe(q *Query, k candidate, results chan<- *probeResult, done <-chan struct{}) {
+func (c *Chooser) probe(q *Query, k candidate, results chan<- probeAnswer, done <-chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	r, n, err := k.upstream.Probe(ctx, q.Service.HealthPath)
-	var s *probeResult
+	a := probeAnswer{answered: err == nil}
 	if err == nil {
-		s = c.evaluate(k, r, n)
+		a.result = c.evaluate(k, r, n)
 	}
 	select {
-	case results <- s:
+	case results <- a:
 	case <-done:
 		k.upstream.Release(n)
 	}
--- /dev/null
+++ b/request/relay/detour.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/request/call"
+	"github.com/amaranthramp/amaranthramp/request/detour"
+	"github.com/amaranthramp/amaranthramp/request/outcome"
+	"github.com/amaranthramp/amaranthramp/request/quarantine"
+	"github.com/amaranthramp/amaranthramp/version/roster"
+	"github.com/amaranthramp/amaranthramp/version/route"
+)
+
+// maxDetours is how many members a request may be sent through, one after the other.
+const maxDetours = 2
+
+// needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or has
+// just found no target that responds, and the request may still be sent to a target.
+func (r *Relay) needsDetour(s *requestState) bool {
+	if s.forwarded || s.noMember || len(s.detours) >= maxDetours {
+		return false
+	}
+	return s.arrivals < max(s.route.MaxAttempts, 1) && (s.pathFailed || r.detours.Partitioned(s.call.Service))
+}
+
+// attemptThrough makes one attempt through another VM and reports whether the retry rules allow another one. The other
+// VM makes the retries that the route allows, so that its answer is final unless it could not pass the request on.
+func (r *Relay) attemptThrough(ctx context.Context, s *requestState, m *roster.Member) (call.Answer, bool) {
+	c := s.call
+	s.detours = append(s.detours, m.Name)
+	c.Attempt, c.MaxAttempts, c.Objective = 1, max(s.route.MaxAttempts, 1)-s.arrivals, 0
+	if o := s.route.LatencyObjective; o > 0 {
+		c.Objective = s.started.Add(o)
+	}
+	// The other VM may send the request at any time from now on.
+	s.retry.Sent()
+	began := r.clock.Now()
+	a := r.detours.Forward(ctx, m, c)
+	r.log.Info().Str("Request", string(c.ID)).Str("Member", string(m.Name)).Str("DataCentre", string(m.DataCentre)).
+		Str("End", eventName(a.Event)).Str("Reason", string(a.Reason)).Int("Status", a.Status).
+		Dur("Took", r.clock.Now().Sub(began)).Msg("attempt through another VM ended")
+	d := s.history.Decide(a.Event, c.Idempotent)
+	a.SetOutcome(d.Outcome)
+	if detour.NotPassedOn(&a) {
+		s.pathFailed = true
+		a.RetryAfter = retryDelay
+		return a, true
+	}
+	s.arrivals++
+	if _, ok := a.Event.(outcome.OwnerUnresponsive); ok {
+		return a, d.Retry && ctx.Err() == nil
+	}
+	return a, false
+}
+
+// DoForwarded sends a call to a target for another VM, which has no path to the targets. The other VM has chosen the
+// service and counts the first attempt; this VM never sends the call through a third one.
+func (r *Relay) DoForwarded(ctx context.Context, c *call.Call) call.Answer {
+	t := r.catalog.Get().Table
+	if t == nil {
+		return notRunResponse(outcome.NoService)
+	}
+	v, ok := t.Services[c.Service]
+	if !ok {
+		return notRunResponse(outcome.NoService)
+	}
+	if r.detours.Partitioned(c.Service) {
+		return notRunResponse(outcome.Unreachable)
+	}
+	now := r.clock.Now()
+	o := &route.Route{
+		Name: ident.Route(c.Class), Host: c.Host, Idempotent: c.Idempotent, MaxAttempts: max(c.MaxAttempts, 1),
+	}
+	if c.Objective != 0 {
+		o.LatencyObjective = max(c.Objective.Sub(now), time.Millisecond)
+	}
+	s := &requestState{
+		call: c, fingerprint: quarantine.FingerprintOf(c.Host, c), route: o, service: v, started: now, forwarded: true,
+	}
+	a := r.runAttempts(ctx, s)
+	if s.pathFailed && s.arrivals == 0 && a.Outcome == outcome.NotRun {
+		a = notRunResponse(outcome.Unreachable)
+	}
+	r.logAnswer(s, t.Version, &a).Msg("forwarded request answered")
+	return a
+}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthramp/amaranthramp/request/quarantine"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/request/rule"
+	"github.com/amaranthramp/amaranthramp/version/roster"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
 
@@ -41,10 +42,21 @@
 	Choose(ctx context.Context, q *candidate.Query) (candidate.Choice, outcome.Reason)
 }
 
+// Detours sends requests through other VMs while this VM has no path to the targets of a service.
+type Detours interface {
+	// Partitioned reports whether this VM has no path to the targets of a service.
+	Partitioned(s ident.Service) bool
+	// Pick returns the member through which a request to a service goes next; false if there is none but those in tried.
+	Pick(s ident.Service, tried []ident.VM) (roster.Member, bool)
+	// Forward has a member send a call to a target, and returns the member's answer.
+	Forward(ctx context.Context, m *roster.Member, c *call.Call) call.Answer
+}
+
 // Relay handles callers' requests. It is safe for concurrent use.
 type Relay struct {
 	catalog *catalog.Catalog
 	chooser Chooser
+	detours Detours
 	retries *retry.SlidingWindow
 	// quarantine refuses the requests that crash targets.
 	quarantine *quarantine.Table
@@ -53,12 +65,14 @@
 	log        zerolog.Logger
 }
 
-// New returns a relay that chooses targets with h, limits retries with b and refuses requests that q has quarantined.
+// New returns a relay that chooses targets with h, sends requests through other VMs with d, limits retries with b and
+// refuses requests that q has quarantined.
 func New(
-	g *catalog.Catalog, h Chooser, b *retry.SlidingWindow, q *quarantine.Table, c clock.Clock, l zerolog.Logger,
+	g *catalog.Catalog, h Chooser, d Detours, b *retry.SlidingWindow, q *quarantine.Table, c clock.Clock, l zerolog.Logger,
 ) *Relay {
 	return &Relay{
-		catalog: g, chooser: h, retries: b, quarantine: q, latency: candidate.NewLatencyEstimator(), clock: c, log: l,
+		catalog: g, chooser: h, detours: d, retries: b, quarantine: q, latency: candidate.NewLatencyEstimator(), clock: c,
+		log: l,
 	}
 }
 
@@ -71,6 +85,15 @@
 	started     clock.Instant
 	history     rule.History
 	tried       []ident.Target
+	// arrivals counts the attempts in which the request may have arrived at a target.
+	arrivals int
+	// forwarded means that another VM has sent the request here, so that it must not go through a third one.
+	forwarded bool
+	// pathFailed means that an attempt found no target that responds to this VM.
+	pathFailed bool
+	// detours are the members through which the request has been sent, and noMember means that there was no further one.
+	detours  []ident.VM
+	noMember bool
 	// retry is the retry that the current attempt is; nil for the first attempt.
 	retry *retry.Retry
 	// lastFailure is the last 5xx response of a target to the request, or nil. The caller gets it if no later attempt
@@ -93,14 +116,18 @@
 	}
 	r.retries.RecordFirstAttempt(c.Service)
 	a := r.runAttempts(ctx, s)
-	r.log.Info().Str("Request", string(c.ID)).Str("Route", string(o.Name)).Str("Service", string(c.Service)).
-		Uint64("Version", uint64(t.Version)).Int("Attempts", len(s.tried)).Str("Outcome", string(a.Outcome)).
-		Str("Reason", string(a.Reason)).Int("Status", a.Status).Dur("Objective", o.LatencyObjective).
-		Dur("Took", r.clock.Now().Sub(now)).
-		Msg("request answered")
+	r.logAnswer(s, t.Version, &a).Msg("request answered")
 	return a
 }
 
+// logAnswer returns the log line for the response to a request.
+func (r *Relay) logAnswer(s *requestState, v ident.Version, a *call.Answer) *zerolog.Event {
+	return r.log.Info().Str("Request", string(s.call.ID)).Str("Route", string(s.route.Name)).
+		Str("Service", string(s.call.Service)).Uint64("Version", uint64(v)).Int("Attempts", len(s.tried)+len(s.detours)).
+		Str("Outcome", string(a.Outcome)).Str("Reason", string(a.Reason)).Int("Status", a.Status).
+		Dur("Objective", s.route.LatencyObjective).Dur("Took", r.clock.Now().Sub(s.started))
+}
+
 // runAttempts makes attempts until one is final or no retry is allowed, and returns the response for the caller.
 func (r *Relay) runAttempts(ctx context.Context, s *requestState) call.Answer {
 	for {
@@ -122,14 +149,19 @@
 }
 
 // mayRetry reports whether the request may be retried and, if so, counts one retry towards the service's limit.
-// Attempts in which no target was contacted do not count towards the route's maximum of attempts.
+// Attempts in which no target was contacted do not count towards the route's maximum of attempts. A request that has
+// been sent to other VMs only, without arriving at a target, is not a retry for the targets.
 func (r *Relay) mayRetry(ctx context.Context, s *requestState) bool {
 	if ctx.Err() != nil || s.call.Deadline.Sub(r.clock.Now()) < minTimeLeft {
 		return false
 	}
-	if len(s.tried) >= max(s.route.MaxAttempts, 1) {
+	detour := r.needsDetour(s)
+	if !detour && max(len(s.tried), s.arrivals) >= max(s.route.MaxAttempts, 1) {
 		return false
 	}
+	if s.arrivals == 0 && (detour || len(s.tried) == 0 && len(s.detours) > 0) {
+		return true
+	}
 	if s.retry = r.retries.Take(s.call.Service); s.retry != nil {
 		return true
 	}
@@ -146,13 +178,21 @@
 		a.RetryAfter = left
 		return a, false
 	}
+	if r.needsDetour(s) {
+		if m, ok := r.detours.Pick(c.Service, s.detours); ok {
+			return r.attemptThrough(ctx, s, &m)
+		}
+		// Without a member to go through, a direct attempt shows at least whether the path is back.
+		s.noMember = true
+	}
 	h, reason := r.chooser.Choose(ctx, r.newQuery(s))
 	if reason != "" {
+		s.pathFailed = s.pathFailed || h.Unanswered()
 		r.log.Info().Str("Request", string(c.ID)).Str("Service", string(c.Service)).Int("Asked", h.Probed).
 			Str("Reason", string(reason)).Msg("no target for the request")
 		a := notRunResponse(reason)
 		a.RetryAfter = max(a.RetryAfter, h.RetryAfter)
-		return s.withOverallOutcome(a), false
+		return s.withOverallOutcome(a), reason != outcome.Cancelled && r.needsDetour(s)
 	}
 	u := h.Upstream
 	began := r.clock.Now()
@@ -168,9 +208,14 @@
 	if h.Report.At != 0 && x.Status == http.StatusOK {
 		r.latency.Observe(s.route.Name, h.Score, r.clock.Now().Sub(began))
 	}
-	if v, ok := x.Event.(outcome.NeverWritten); !ok || v.Reason == outcome.Unreachable {
+	v, unwritten := x.Event.(outcome.NeverWritten)
+	if !unwritten || v.Reason == outcome.Unreachable {
 		s.tried = append(s.tried, u.Target.ID)
 	}
+	if !unwritten {
+		s.arrivals++
+	}
+	s.pathFailed = s.pathFailed || unwritten && v.Reason == outcome.Unreachable && h.Unanswered()
 	return r.evaluate(s, x)
 }
 
@@ -223,6 +268,7 @@
 		Request: s.call.ID, Service: s.service, Tried: slices.Clone(s.tried),
 		BaseLatency: r.latency.BaseLatency(s.route.Name), Objective: s.call.Deadline,
 		WaitUntil: min(s.started.Add(wait), s.call.Deadline), Deadline: s.call.Deadline,
+		ProbedOnly: r.detours.Partitioned(s.call.Service),
 	}
 	if o := s.route.LatencyObjective; o > 0 {
 		q.Objective = s.started.Add(o)
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/connection/upstream"
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -34,6 +35,17 @@
 	Incarnation: "X-Incarnation", WarmupLeft: "X-Warmup", Limit: "X-Limit",
 }
 
+// noDetours is the way through other VMs of a VM that is alone and never partitioned.
+type noDetours struct{}
+
+func (noDetours) Partitioned(ident.Service) bool { return false }
+
+func (noDetours) Pick(ident.Service, []ident.VM) (roster.Member, bool) { return roster.Member{}, false }
+
+func (noDetours) Forward(context.Context, *roster.Member, *call.Call) call.Answer {
+	return call.NotRun(outcome.Unreachable)
+}
+
 // behaviour is how a target handles a request.
 type behaviour string
 
@@ -179,14 +191,14 @@
 		}}})
 	}
 	g.Replace(catalog.Targets, records, catalog.Position{Revision: 1})
-	set := upstream.NewSet(c, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP)
+	set := upstream.NewSet(c, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP, partition.New())
 	h := candidate.New(g, set, "vm", "a", noWarmupLimit{}, oneVM{}, 60, c, zerolog.Nop())
 	const window = 10 * time.Second
 	past := clock.NewFake()
 	b := retry.NewSlidingWindow(past, 0, func() float64 { return slack }, window)
 	// The process has run for a window already, so that it may use the slack.
 	past.Advance(window)
-	return New(g, h, b, quarantine.New(c, 3), c, zerolog.Nop()), g, func() {
+	return New(g, h, noDetours{}, b, quarantine.New(c, 3), c, zerolog.Nop()), g, func() {
 		for _, l := range listeners {
 			_ = l.Close()
 		}
@@ -332,7 +344,7 @@
 	if sends, _ := f.counts(); a.Status != 503 || a.Reason != outcome.NoTarget || sends != 0 {
 		t.Errorf("status %d, reason %s, %d sends, want 503, no-target, 0", a.Status, a.Reason, sends)
 	}
-	set := upstream.NewSet(y.clock, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP)
+	set := upstream.NewSet(y.clock, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP, partition.New())
 	u := set.Get(roster.Target{ID: "i-1", Service: "book"}, 0)
 	s := &requestState{call: &call.Call{Service: "book", Deadline: 1 << 62}}
 	if r := y.checkBeforeWrite(&candidate.Choice{Upstream: u}, s); r != outcome.NoTarget {
@@ -401,7 +413,7 @@
 		g.Replace(catalog.Evacuations, []catalog.Record{e}, catalog.Position{Revision: 2})
 	}
 	g.Replace(catalog.Evacuations, nil, catalog.Position{Revision: 3})
-	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP).
+	u := upstream.NewSet(y.clock, zerolog.Nop(), headers, exchange.NewBodyBudget(0), pool.DialTCP, partition.New()).
 		Get(roster.Target{ID: "i-1", Service: "book"}, 0)
 	c := newCall()
 	c.Service, c.Deadline = "book", 1<<62
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -22,14 +22,20 @@
 )
 
 // watchdog cancels an attempt of an idempotent request if the target does not run it: because its response was lost, or
-// because the target could not queue it and never responds. An attempt that the target may still be running is not
-// cancelled.
+// because the target could not queue it and never responds. An attempt that the target may still be running is
+// cancelled only if this VM is partitioned from the service, so that no response can arrive.
 func (r *Relay) watchdog(ctx context.Context, cancel context.CancelCauseFunc, s *requestState, h *candidate.Choice) {
 	delay := max(time.Duration(watchdogDelayFactor*h.Score*float64(r.latency.BaseLatency(s.route.Name))), minWatchdogDelay)
 	for {
 		if !clock.Sleep(ctx, delay) {
 			return
 		}
+		if r.detours.Partitioned(s.call.Service) {
+			r.log.Info().Str("Request", string(s.call.ID)).Str("Target", string(h.Upstream.Target.ID)).
+				Msg("attempt cancelled: no target of the service responds to this VM")
+			cancel(exchange.ErrNoPath)
+			return
+		}
 		if !r.confirmLost(ctx, s, h) || !clock.Sleep(ctx, responseGrace) {
 			continue
 		}
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -46,6 +46,8 @@
 	// Address receives datagrams and connections from the other members.
 	Address    ident.Address
 	DataCentre ident.DataCentre
+	// ForwardAddress receives callers' requests from members that have no path to the targets; empty if none does.
+	ForwardAddress ident.Address
 	// Capacity is the size class of the VM: a VM of a larger class can do more work for other members.
 	Capacity int
 }
