Metrics, explain and keep-alive: what operators see of requests through other VMs

Counters of detours and forwarded requests, the number of services without a responding target, and the sentences of explain. TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count: dialer.go said otherwise, and the count is gone.

--- a/connection/pool/dialer.go
+++ b/connection/pool/dialer.go
@@ -10,12 +10,13 @@
 )
 
 // Limits on dialing, and on the time after which the kernel closes a connection whose other end no longer acknowledges.
-// The kernel sends keep-alive probes on idle connections; userTimeout applies while sent data is unacknowledged.
+// userTimeout applies while sent data is unacknowledged. On an idle connection it decides, too, when the kernel gives up
+// its keep-alive probes, since with TCP_USER_TIMEOUT set it ignores their count: userTimeout after the last
+// acknowledgement, if a probe has gone unanswered since.
 const (
 	dialTimeout       = 250 * time.Millisecond
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 3
 	userTimeout       = 3 * time.Second
 )
 
@@ -24,7 +25,7 @@
 	d := net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval,
 		},
 		Control: setUserTimeout,
 	}
--- a/operator/command/explain.go
+++ b/operator/command/explain.go
@@ -83,8 +83,8 @@
 		return err
 	}
 	for _, l := range e.StateChanges {
-		if _, err := fmt.Fprintf(w, "  %s  %s  %s %s%s\n", l.At.Format("15:04:05.000"), l.VM, l.Message, l.Target,
-			l.Name); err != nil {
+		if _, err := fmt.Fprintf(w, "  %s  %s  %s %s%s%s\n", l.At.Format("15:04:05.000"), l.VM, l.Message, l.Target, l.Name,
+			serviceOf(&l)); err != nil {
 			return err
 		}
 	}
@@ -98,10 +98,21 @@
 		return fmt.Sprintf("target %s in %s: %s, status %d, %.0f ms; probed %d, chosen with score %.2f with %d running, "+
 			"%d waiting, requests taking %.1f times the normal duration", l.Target, l.DataCentre, l.End, l.Status, l.Took,
 			l.Asked, l.Score, l.Running, l.Waiting, l.Pace)
-	case "request answered":
+	case "attempt through another VM ended":
+		return fmt.Sprintf("through %s in %s, since no target responds to this VM: %s %s, status %d, %.0f ms", l.Member,
+			l.DataCentre, l.End, l.Reason, l.Status, l.Took)
+	case "request answered", "forwarded request answered":
 		return fmt.Sprintf("answered: %s %s, status %d, %.0f ms, %d attempts, route %s, version %d", l.Outcome,
 			l.Reason, l.Status, l.Took, l.Attempts, l.Route, l.Version)
 	default:
 		return fmt.Sprintf("%s %s%s", l.Message, l.Reason, l.Target)
 	}
 }
+
+// serviceOf returns the service that a state change is about, unless it names a target or an object.
+func serviceOf(l *story.Line) string {
+	if l.Target != "" || l.Name != "" {
+		return ""
+	}
+	return l.Service
+}
--- a/operator/story/cause.go
+++ b/operator/story/cause.go
@@ -7,13 +7,15 @@
 
 // cause explains the result of the request in one sentence.
 func (e *Explanation) cause() string {
-	var answer, attempt *Line
+	var answer, attempt, through *Line
 	for i := range e.Lines {
 		switch e.Lines[i].Message {
 		case "request answered":
 			answer = &e.Lines[i]
 		case "attempt ended":
 			attempt = &e.Lines[i]
+		case "attempt through another VM ended":
+			through = &e.Lines[i]
 		}
 	}
 	switch {
@@ -21,6 +23,9 @@
 		return "no final log line: the VM stopped before it answered, or the line was dropped"
 	case answer.Outcome == "not-run":
 		return notRunCause(answer)
+	case attempt == nil && through != nil:
+		return fmt.Sprintf("sent through VM %s, since no target responded to this one: %s, status %d after %.0f ms; the log of "+
+			"%s has the rest", through.Member, through.End, through.Status, through.Took, through.Member)
 	case attempt == nil:
 		return "no attempt was logged"
 	case answer.Outcome == "unknown":
@@ -48,7 +53,7 @@
 	case "shed":
 		return "not run: all targets that were tried refused the request, and no further attempt was allowed"
 	case "unreachable":
-		return "not run: the chosen target could not be reached"
+		return "not run: no target could be reached, and no other VM that reaches one"
 	default:
 		return "not run: " + l.Reason
 	}
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -27,10 +27,12 @@
 	VM      string    `json:"VM"`
 	Message string    `json:"message"`
 
-	Request    string `json:",omitempty"`
-	Route      string `json:",omitempty"`
-	Service    string `json:",omitempty"`
-	Target     string `json:",omitempty"`
+	Request string `json:",omitempty"`
+	Route   string `json:",omitempty"`
+	Service string `json:",omitempty"`
+	Target  string `json:",omitempty"`
+	// Member is the VM through which the request was sent.
+	Member     string `json:",omitempty"`
 	DataCentre string `json:",omitempty"`
 	// Name is that of the object in the store that the line is about.
 	Name     string `json:",omitempty"`
@@ -71,6 +73,7 @@
 var stateMessages = []string{
 	"configuration read", "data centre taken out", "object is gone", "target registered", "target ejected",
 	"target trusted again", "target announced that it leaves", "target asked for a pause", "many objects changed",
+	"no target of the service responds", "targets of the service respond again",
 	"store lost", "store regained", "reads the store", "planned stop", "gateway started",
 	"log lines dropped",
 }
--- a/process/gateway/forwarded.go
+++ b/process/gateway/forwarded.go
@@ -22,6 +22,12 @@
 
 // Dispatch sends a call to a target, or refuses it at once.
 func (d *forwardedDispatcher) Dispatch(ctx context.Context, c *call.Call) call.Answer {
+	a := d.dispatch(ctx, c)
+	d.gateway.metrics.forwarded.WithLabelValues(string(a.Outcome), string(a.Reason)).Inc()
+	return a
+}
+
+func (d *forwardedDispatcher) dispatch(ctx context.Context, c *call.Call) call.Answer {
 	if !d.gateway.acceptsForwarded() {
 		return call.NotRun(outcome.Unreachable)
 	}
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -318,6 +318,8 @@
 		{"/metrics", `amaranthramp_gateway_store_calls_total{call="list-stale",kind="targets",result="ok"} 1`},
 		{"/metrics", `amaranthramp_gateway_retries_total{result="allowed",service="book"} 0`},
 		{"/metrics", "amaranthramp_gateway_members 1"},
+		{"/metrics", "amaranthramp_gateway_services_partitioned 0"},
+		{"/metrics", `amaranthramp_gateway_detours_total{result="passed"} 0`},
 		{"/metrics", "amaranthramp_gateway_reads_store 1"},
 		{"/metrics", "amaranthramp_gateway_store_age_seconds 0."},
 		{"/metrics", "amaranthramp_gateway_targets_ejected 0"},
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/amaranthramp/amaranthramp/request/call"
+	"github.com/amaranthramp/amaranthramp/request/detour"
 	"github.com/amaranthramp/amaranthramp/request/retry"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
@@ -17,6 +18,8 @@
 // metrics holds the metrics of callers' requests.
 type metrics struct {
 	requests *prometheus.CounterVec
+	// forwarded counts the requests that other VMs have sent here.
+	forwarded *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 }
 
@@ -45,6 +48,8 @@
 		}
 		return float64(n)
 	})
+	gauge("services_partitioned", "Services none of whose targets responds to this VM, as far as it has had to do with them.",
+		func() float64 { return float64(g.detours.PartitionedCount()) })
 	gauge("members", "VMs that this VM knows to be registered in the fleet; at least 1.", func() float64 {
 		return float64(g.fleet.Members())
 	})
@@ -66,11 +71,15 @@
 		Name: "amaranthramp_gateway_log_lines_dropped_total",
 		Help: "Log lines that were dropped because the queue was full or the rate limit was reached.",
 	}, func() float64 { return float64(g.droppedLines()) })
-	r.MustRegister(&retryCollector{retries: g.retries})
+	r.MustRegister(&retryCollector{retries: g.retries}, &detourCollector{detours: g.detours})
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
 		}, []string{"route", "outcome", "reason"}),
+		forwarded: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthramp_gateway_forwarded_requests_total",
+			Help: "Requests of VMs without a path to the targets, by outcome and reason.",
+		}, []string{"outcome", "reason"}),
 		duration: f.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "amaranthramp_gateway_request_seconds", Help: "Time from a caller's request to its answer.",
 			Buckets: durationBuckets,
@@ -128,3 +137,29 @@
 			retriesDesc, prometheus.CounterValue, float64(s.Denied), string(s.Service), "denied")
 	}
 }
+
+// detoursDesc describes the counter of requests through other VMs.
+var detoursDesc = prometheus.NewDesc("amaranthramp_gateway_detours_total",
+	"Requests sent through other VMs: passed on, refused since the other VM was not reached or has no path either, or "+
+		"lost without an answer.", []string{"result"}, nil)
+
+// detourCollector exports the counts of requests through other VMs.
+type detourCollector struct {
+	detours *detour.Router
+}
+
+// Describe sends the description of the counter.
+func (c *detourCollector) Describe(d chan<- *prometheus.Desc) {
+	d <- detoursDesc
+}
+
+// Collect sends the counts.
+func (c *detourCollector) Collect(m chan<- prometheus.Metric) {
+	s := c.detours.Stats()
+	for _, v := range []struct {
+		result string
+		count  uint64
+	}{{"passed", s.Passed}, {"refused", s.Refused}, {"lost", s.Lost}} {
+		m <- prometheus.MustNewConstMetric(detoursDesc, prometheus.CounterValue, float64(v.count), v.result)
+	}
+}
--- a/request/detour/router.go
+++ b/request/detour/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -35,6 +36,9 @@
 	clock    clock.Clock
 	log      zerolog.Logger
 
+	// partitioned is the number of services from which this VM is partitioned.
+	partitioned atomic.Int64
+
 	mu        sync.Mutex
 	knowledge knowledge
 	// wanted is when a request to each service last went through another VM.
--- a/request/detour/watch.go
+++ b/request/detour/watch.go
@@ -43,6 +43,7 @@
 	for clock.Sleep(ctx, checkInterval) {
 		l := r.partitionedServices()
 		r.logChanges(before, l)
+		r.partitioned.Store(int64(len(l)))
 		before = l
 		if len(l) == 0 {
 			continue
@@ -56,6 +57,11 @@
 	}
 }
 
+// PartitionedCount returns the number of services from which this VM is partitioned, as of the last check.
+func (r *Router) PartitionedCount() int {
+	return int(r.partitioned.Load())
+}
+
 // partitionedServices returns the services from which this VM is partitioned, as far as it has had to do with them.
 func (r *Router) partitionedServices() []ident.Service {
 	l := r.detector.Silent()
