Bound the memory of responses that are read from other VMs

Bodies that a partitioned VM reads from members were outside the body budget of the VM, found by reading.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -33,6 +33,7 @@
 	clock clock.Clock
 	// echo is whether a response that doesn't repeat the exchange id of its request is rejected.
 	echo    bool
+	bodies  *BodyBudget
 	latency *latencyEstimator
 	// breaker refuses requests while the address responds to none.
 	breaker breaker
@@ -41,13 +42,18 @@
 // New returns an Exchanger that sends calls to an upstream over the pool. If echo is true, a response must repeat the
 // exchange id of its request.
 func New(p *pool.Pool, c clock.Clock, echo bool) *Exchanger {
-	return &Exchanger{pool: p, clock: c, echo: echo, latency: newLatencyEstimator(minResponseTimeout)}
+	return &Exchanger{
+		pool: p, clock: c, echo: echo, bodies: NewBodyBudget(0), latency: newLatencyEstimator(minResponseTimeout),
+	}
 }
 
 // NewForPeer returns an Exchanger that sends calls to another member over the pool. A member gets a longer response
-// timeout than an upstream, because it may itself retry the request.
-func NewForPeer(p *pool.Pool, c clock.Clock) *Exchanger {
-	return &Exchanger{pool: p, clock: c, echo: true, latency: newLatencyEstimator(minPeerResponseTimeout)}
+// timeout than an upstream, because it may itself retry the request. The bodies that are read share the budget b with
+// others.
+func NewForPeer(p *pool.Pool, b *BodyBudget, c clock.Clock) *Exchanger {
+	return &Exchanger{
+		pool: p, clock: c, echo: true, bodies: b, latency: newLatencyEstimator(minPeerResponseTimeout),
+	}
 }
 
 // Do runs one exchange. It calls check immediately before it writes the first byte; if check returns a reason, the
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -57,7 +57,7 @@
 		return broken(outcome.Truncated), false
 	}
 	n.SetReadLimit(maxBodyBytes)
-	b, err := io.ReadAll(io.LimitReader(p.Body, call.MaxBody+1))
+	b, err := e.bodies.readBody(p.Body)
 	if err != nil {
 		return broken(reasonOfBodyError(err)), false
 	}
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -27,16 +27,17 @@
 
 // Client sends calls and messages to other members; it is safe for concurrent use.
 type Client struct {
-	clock clock.Clock
-	dial  pool.Dial
+	clock  clock.Clock
+	dial   pool.Dial
+	bodies *exchange.BodyBudget
 
 	mu         sync.Mutex
 	exchangers map[ident.Address]*exchange.Exchanger
 }
 
-// NewClient returns a client that connects over TCP.
-func NewClient(c clock.Clock) *Client {
-	return &Client{clock: c, dial: pool.DialTCP, exchangers: map[ident.Address]*exchange.Exchanger{}}
+// NewClient returns a client that connects over TCP. The bodies that it reads share the budget b with others.
+func NewClient(b *exchange.BodyBudget, c clock.Clock) *Client {
+	return &Client{clock: c, dial: pool.DialTCP, bodies: b, exchangers: map[ident.Address]*exchange.Exchanger{}}
 }
 
 // Forward has a call run by the member with the given peer address. If the response is lost, the answer has an
@@ -61,7 +62,7 @@
 	defer c.mu.Unlock()
 	x, ok := c.exchangers[a]
 	if !ok {
-		x = exchange.NewForPeer(pool.New(a, maxConnections, maxIdle, c.dial, c.clock), c.clock)
+		x = exchange.NewForPeer(pool.New(a, maxConnections, maxIdle, c.dial, c.clock), c.bodies, c.clock)
 		c.exchangers[a] = x
 	}
 	return x
--- a/operator/story/cause.go
+++ b/operator/story/cause.go
@@ -24,8 +24,8 @@
 	case answer.Outcome == "not-run":
 		return notRunCause(answer)
 	case attempt == nil && through != nil:
-		return fmt.Sprintf("sent through VM %s, since no target responded to this one: %s, status %d after %.0f ms; the log of "+
-			"%s has the rest", through.Member, through.End, through.Status, through.Took, through.Member)
+		return fmt.Sprintf("sent through VM %s, since no target responded to this one: %s, status %d after %.0f ms; the "+
+			"log of %s has the rest", through.Member, through.End, through.Status, through.Took, through.Member)
 	case attempt == nil:
 		return "no attempt was logged"
 	case answer.Outcome == "unknown":
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/connection/peer"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -75,7 +76,7 @@
 func New(s *settings.Settings, incarnation string, c clock.Clock, l zerolog.Logger) *Entry {
 	v := view.NewHolder()
 	q := quarantine.New(c, quarantineDeaths)
-	p := peer.NewClient(c)
+	p := peer.NewClient(exchange.NewBodyBudget(0), c)
 	x := dispatch.NewExchangerFactory(c, pool.DialTCP)
 	d := dispatch.New(v, &shard.TableCache{}, c, retry.NewBudget(), q, handover.NewInbox(c), p, x)
 	t := claim.NewTransport(p)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/connection/partition"
+	"github.com/amaranthramp/amaranthramp/connection/peer"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/connection/upstream"
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -98,7 +99,7 @@
 	q := quarantine.New(c, quarantineDeaths)
 	f.HandleQuarantine(func(m *wire.QuarantineNews, from ident.Address) { q.Handle(m, from, f) })
 	chooser := candidate.New(g, set, s.Name, s.DataCentre, w, f, s.ProbeRate, c, l)
-	d := detour.New(g, detector, f, c, l)
+	d := detour.New(g, detector, f, peer.NewClient(bodies, c), c, l)
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set, chooser: chooser, detours: d,
 		relay: relay.New(g, chooser, d, b, q, c, l), quarantine: q,
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -20,7 +20,7 @@
 	requests *prometheus.CounterVec
 	// forwarded counts the requests that other VMs have sent here.
 	forwarded *prometheus.CounterVec
-	duration *prometheus.HistogramVec
+	duration  *prometheus.HistogramVec
 }
 
 // newMetrics registers the metrics of callers' requests, and those that report the state of the gateway.
@@ -48,8 +48,8 @@
 		}
 		return float64(n)
 	})
-	gauge("services_partitioned", "Services none of whose targets responds to this VM, as far as it has had to do with them.",
-		func() float64 { return float64(g.detours.PartitionedCount()) })
+	gauge("services_partitioned",
+		"Services none of whose targets responds to this VM, as far as it has had to do with them.", func() float64 { return float64(g.detours.PartitionedCount()) })
 	gauge("members", "VMs that this VM knows to be registered in the fleet; at least 1.", func() float64 {
 		return float64(g.fleet.Members())
 	})
--- a/request/detour/router.go
+++ b/request/detour/router.go
@@ -52,10 +52,13 @@
 	Passed, Refused, Lost uint64
 }
 
-// New returns a router that learns from d which services this VM reaches and from p which ones the others reach.
-func New(g *catalog.Catalog, d *partition.Detector, p Peers, c clock.Clock, l zerolog.Logger) *Router {
+// New returns a router that learns from d which services this VM reaches and from p which ones the others reach, and
+// sends requests to them with n.
+func New(
+	g *catalog.Catalog, d *partition.Detector, p Peers, n *peer.Client, c clock.Clock, l zerolog.Logger,
+) *Router {
 	return &Router{
-		catalog: g, detector: d, peers: p, client: peer.NewClient(c), clock: c, log: l,
+		catalog: g, detector: d, peers: p, client: n, clock: c, log: l,
 		knowledge: knowledge{}, wanted: map[ident.Service]clock.Instant{},
 	}
 }
