--- a/connection/pool/dialer.go
+++ b/connection/pool/dialer.go
@@ -10,8 +10,8 @@
 )
 
 // Limits on dialing, and on the time after which the kernel closes a connection whose other end no longer acknowledges.
-// userTimeout applies while sent data is unacknowledged. On an idle connection it decides, too, when the kernel gives up
-// its keep-alive probes, since with TCP_USER_TIMEOUT set it ignores their count: userTimeout after the last
+// userTimeout applies while sent data is unacknowledged. It also decides when the kernel gives up keep-alive probes
+// of an idle connection, since with TCP_USER_TIMEOUT set it ignores their count: userTimeout after the last
 // acknowledgement, if a probe has gone unanswered since.
 const (
 	dialTimeout       = 250 * time.Millisecond
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -26,6 +26,33 @@
 // newMetrics registers the metrics of callers' requests, and those that report the state of the gateway.
 func newMetrics(r prometheus.Registerer, g *Gateway) *metrics {
 	f := promauto.With(r)
+	registerGauges(&f, g)
+	f.NewCounterFunc(prometheus.CounterOpts{
+		Name: "amaranthramp_gateway_news_fetched_total",
+		Help: "Fetches of changes in the store from a VM that reads it, after a lost datagram or a start of this VM.",
+	}, func() float64 { return float64(g.fleet.FetchCount()) })
+	f.NewCounterFunc(prometheus.CounterOpts{
+		Name: "amaranthramp_gateway_log_lines_dropped_total",
+		Help: "Log lines that were dropped because the queue was full or the rate limit was reached.",
+	}, func() float64 { return float64(g.droppedLines()) })
+	r.MustRegister(&retryCollector{retries: g.retries}, &detourCollector{detours: g.detours})
+	return &metrics{
+		requests: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
+		}, []string{"route", "outcome", "reason"}),
+		forwarded: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "amaranthramp_gateway_forwarded_requests_total",
+			Help: "Requests of VMs without a path to the targets, by outcome and reason.",
+		}, []string{"outcome", "reason"}),
+		duration: f.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "amaranthramp_gateway_request_seconds", Help: "Time from a caller's request to its answer.",
+			Buckets: durationBuckets,
+		}, []string{"route"}),
+	}
+}
+
+// registerGauges registers the gauges that report the state of the gateway.
+func registerGauges(f *promauto.Factory, g *Gateway) {
 	gauge := func(name, help string, v func() float64) {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Name: "amaranthramp_gateway_" + name, Help: help}, v)
 	}
@@ -49,7 +76,9 @@
 		return float64(n)
 	})
 	gauge("services_partitioned",
-		"Services none of whose targets responds to this VM, as far as it has had to do with them.", func() float64 { return float64(g.detours.PartitionedCount()) })
+		"Services none of whose targets responds to this VM, as far as it has had to do with them.", func() float64 {
+			return float64(g.detours.PartitionedCount())
+		})
 	gauge("members", "VMs that this VM knows to be registered in the fleet; at least 1.", func() float64 {
 		return float64(g.fleet.Members())
 	})
@@ -63,28 +92,6 @@
 		}
 		return 0
 	})
-	f.NewCounterFunc(prometheus.CounterOpts{
-		Name: "amaranthramp_gateway_news_fetched_total",
-		Help: "Fetches of changes in the store from a VM that reads it, after a lost datagram or a start of this VM.",
-	}, func() float64 { return float64(g.fleet.FetchCount()) })
-	f.NewCounterFunc(prometheus.CounterOpts{
-		Name: "amaranthramp_gateway_log_lines_dropped_total",
-		Help: "Log lines that were dropped because the queue was full or the rate limit was reached.",
-	}, func() float64 { return float64(g.droppedLines()) })
-	r.MustRegister(&retryCollector{retries: g.retries}, &detourCollector{detours: g.detours})
-	return &metrics{
-		requests: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
-		}, []string{"route", "outcome", "reason"}),
-		forwarded: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "amaranthramp_gateway_forwarded_requests_total",
-			Help: "Requests of VMs without a path to the targets, by outcome and reason.",
-		}, []string{"outcome", "reason"}),
-		duration: f.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "amaranthramp_gateway_request_seconds", Help: "Time from a caller's request to its answer.",
-			Buckets: durationBuckets,
-		}, []string{"route"}),
-	}
 }
 
 // storeAge returns the seconds since this VM's copy of the store's content was last known to be current, or -1 if it
