Don't count a shortage of readers while the store answers none

The logs of a failing run: 16 members read since the store's last confirmation was stale, three since there were too few active readers.

Now a shortage counts only while the store has confirmed an active reader's copy lately. The new row of TestReadersOfLargeFleet gave 471 of 471 members that would read, 16 now.

--- a/process/fleet/reader_situation.go
+++ b/process/fleet/reader_situation.go
@@ -50,12 +50,18 @@
 	if s.isStale() {
 		return "last confirmation by the store is stale"
 	}
-	if s.shortageSince != 0 && s.now.Sub(s.shortageSince) >= readerTimeout+2*s.rankDelay() {
+	if s.storeAnswersReaders() && s.shortageSince != 0 && s.now.Sub(s.shortageSince) >= readerTimeout+2*s.rankDelay() {
 		return "too few active readers"
 	}
 	return ""
 }
 
+// storeAnswersReaders reports whether the store has confirmed the copy of an active reader lately. If not, more readers
+// would get no answer either; isStale lets some of them try.
+func (s *readerSituation) storeAnswersReaders() bool {
+	return s.hasActiveReader && s.now.Sub(s.newestConfirmation) < staleAfter
+}
+
 // startGrace returns how long a member waits after its start before a missing confirmation counts as stale.
 func (s *readerSituation) startGrace() time.Duration {
 	if s.existingFleet {
@@ -80,7 +86,7 @@
 	switch {
 	case !s.hasActiveReader:
 		return age >= 0 && (s.confirmed != 0 || s.now.Sub(s.started) >= initialReadDelay+s.startDelay())
-	case s.now.Sub(s.newestConfirmation) < staleAfter:
+	case s.storeAnswersReaders():
 		// A reader has changes that this member lacks and is fetching.
 		return age >= 0 && s.behindSince != 0 && s.now.Sub(s.behindSince) >= fetchGrace+s.rankDelay()
 	default:
--- a/process/fleet/reader_situation_test.go
+++ b/process/fleet/reader_situation_test.go
@@ -64,6 +64,14 @@
 			started: ago(time.Minute), confirmed: ago(3 * time.Second), existingFleet: true, hasActiveReader: true,
 			newestConfirmation: ago(3 * time.Second),
 		}, 16, 16},
+		{"outage that began as one of two readers had failed", readerSituation{
+			started: ago(time.Minute), confirmed: ago(2 * time.Second), existingFleet: true, freshReaders: 1,
+			hasActiveReader: true, newestConfirmation: ago(2 * time.Second), shortageSince: ago(2500 * time.Millisecond),
+		}, 16, 16},
+		{"one of two readers has failed", readerSituation{
+			started: ago(time.Minute), confirmed: ago(500 * time.Millisecond), existingFleet: true, freshReaders: 1,
+			hasActiveReader: true, newestConfirmation: ago(500 * time.Millisecond), shortageSince: ago(1600 * time.Millisecond),
+		}, 3, 32},
 		{"all have restarted 2 s ago", readerSituation{started: ago(2 * time.Second), existingFleet: true}, 16, 32},
 		{"all have restarted 5 s ago, no reader came up", readerSituation{
 			started: ago(5 * time.Second), existingFleet: true,
