--- a/request/relay/detour_test.go
+++ b/request/relay/detour_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -31,7 +33,7 @@
 
 // stubDetours are other VMs, whose behaviours follow a script and then are served.
 type stubDetours struct {
-	partitioned bool
+	partitioned atomic.Bool
 	// members is how many other VMs there are.
 	members int
 	script  []passed
@@ -39,7 +41,7 @@
 	runs    int
 }
 
-func (d *stubDetours) Partitioned(ident.Service) bool { return d.partitioned }
+func (d *stubDetours) Partitioned(ident.Service) bool { return d.partitioned.Load() }
 
 func (d *stubDetours) Pick(_ ident.Service, tried []ident.VM) (roster.Member, bool) {
 	for i := range d.members {
@@ -105,7 +107,8 @@
 			f := &stubTargets{}
 			y, _, end := newRelay(t, f, r.slack)
 			defer end()
-			d := &stubDetours{partitioned: true, members: r.members, script: r.script}
+			d := &stubDetours{members: r.members, script: r.script}
+			d.partitioned.Store(true)
 			y.detours = d
 			n, o := table(r.idempotent, 2)
 			a := y.Do(context.Background(), n, o, newCall())
@@ -134,6 +137,29 @@
 	}
 }
 
+// TestAttemptInFlightAtPartition checks that an attempt at a target from which no response can arrive any more is
+// retried through another VM if the request is idempotent, and left alone if not.
+func TestAttemptInFlightAtPartition(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		f := &stubTargets{script: []behaviour{slow}, dropProbes: true}
+		y, _, end := newRelay(t, f, 5)
+		defer end()
+		d := &stubDetours{members: 3}
+		y.detours = d
+		time.AfterFunc(50*time.Millisecond, func() { d.partitioned.Store(true) })
+		n, o := table(idempotent, 2)
+		a := y.Do(context.Background(), n, o, newCall())
+		want := 0
+		if idempotent {
+			want = 1
+		}
+		if sends, _ := f.counts(); a.Status != 200 || sends != 1 || len(d.calls) != want {
+			t.Errorf("idempotent %t: status %d after %d sends and %d detours, want 200 after 1 and %d", idempotent, a.Status,
+				sends, len(d.calls), want)
+		}
+	}
+}
+
 // TestForwardedIsNotForwarded checks that a request of another VM never goes through a third one: it is refused at once
 // if this VM is partitioned, and also if its attempt shows that it is.
 func TestForwardedIsNotForwarded(t *testing.T) {
@@ -149,7 +175,8 @@
 		g.Replace(catalog.Configurations, []catalog.Record{
 			{Name: "main", Revision: 1, Entry: catalog.Configuration{Table: n}},
 		}, catalog.Position{Revision: 1})
-		d := &stubDetours{members: 3, partitioned: partitioned}
+		d := &stubDetours{members: 3}
+		d.partitioned.Store(partitioned)
 		y.detours = d
 		c := newCall()
 		c.Service, c.Idempotent, c.MaxAttempts, c.Deadline = "book", true, 2, y.clock.Now().Add(900e6)
@@ -172,9 +199,10 @@
 		y, _, end := newRelay(t, f, 5)
 		defer end()
 		d := &stubDetours{
-			partitioned: rapid.Bool().Draw(t, "partitioned"), members: rapid.IntRange(0, 3).Draw(t, "VMs"),
-			script: rapid.SliceOfN(rapid.SampledFrom(all), 0, 4).Draw(t, "script"),
+			members: rapid.IntRange(0, 3).Draw(t, "VMs"),
+			script:  rapid.SliceOfN(rapid.SampledFrom(all), 0, 4).Draw(t, "script"),
 		}
+		d.partitioned.Store(rapid.Bool().Draw(t, "partitioned"))
 		y.detours = d
 		idempotent := rapid.Bool().Draw(t, "idempotent")
 		attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
