Wait for the late answer of another VM, and answer 504 at the deadline

Ruled out: the members were reachable. Such a call now has an attempt number above 1, so that its exchange waits.

--- a/request/relay/detour.go
+++ b/request/relay/detour.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -16,6 +17,10 @@
 // maxDetours is how many members a request may be sent through, one after the other.
 const maxDetours = 2
 
+// detourAttempt is the attempt number of a call that goes through another VM. Above 1, the exchange waits for
+// a late answer. A member with one slow request looks like one that does not respond.
+const detourAttempt ident.Attempt = 2
+
 // needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or has
 // just found no target that responds, and the request may still be sent to a target.
 func (r *Relay) needsDetour(s *requestState) bool {
@@ -30,7 +35,7 @@
 func (r *Relay) attemptThrough(ctx context.Context, s *requestState, m *roster.Member) (call.Answer, bool) {
 	c := s.call
 	s.detours = append(s.detours, m.Name)
-	c.Attempt, c.MaxAttempts, c.Objective = 1, max(s.route.MaxAttempts, 1)-s.arrivals, 0
+	c.Attempt, c.MaxAttempts, c.Objective = detourAttempt, max(s.route.MaxAttempts, 1)-s.arrivals, 0
 	if o := s.route.LatencyObjective; o > 0 {
 		c.Objective = s.started.Add(o)
 	}
@@ -49,7 +54,10 @@
 		return a, true
 	}
 	s.arrivals++
-	if _, ok := a.Event.(outcome.OwnerUnresponsive); ok {
+	if e, ok := a.Event.(outcome.OwnerUnresponsive); ok {
+		if e.Reason == outcome.Expired {
+			a.Status = http.StatusGatewayTimeout
+		}
 		return a, d.Retry && ctx.Err() == nil
 	}
 	return a, false
--- a/request/relay/detour_test.go
+++ b/request/relay/detour_test.go
@@ -29,6 +29,8 @@
 	broke passed = "broke"
 	// vanished means that the VM may have sent the request and did not answer.
 	vanished passed = "vanished"
+	// late means that the VM had not answered when the deadline passed.
+	late passed = "late"
 )
 
 // stubDetours are other VMs, whose behaviours follow a script and then are served.
@@ -66,10 +68,11 @@
 	case broke:
 		d.runs++
 		return call.Unknown(outcome.Reset)
-	case vanished:
+	case vanished, late:
 		d.runs++
-		a := call.Unknown(outcome.Reset)
-		a.Event = outcome.OwnerUnresponsive{Reason: outcome.Reset}
+		reason := map[passed]outcome.Reason{vanished: outcome.Reset, late: outcome.Expired}[p]
+		a := call.Unknown(reason)
+		a.Event = outcome.OwnerUnresponsive{Reason: reason}
 		return a
 	default:
 		d.runs++
@@ -100,6 +103,7 @@
 		{"VM vanished, idempotent", true, 5, 3, []passed{vanished}, 200, outcome.Done, 2, 0},
 		{"VM vanished, idempotent, no retry allowed", true, 0, 3, []passed{vanished}, 502, outcome.Unknown, 1, 0},
 		{"VM vanished, not idempotent", false, 5, 3, []passed{vanished}, 502, outcome.Unknown, 1, 0},
+		{"no answer by the deadline, not idempotent", false, 5, 3, []passed{late}, 504, outcome.Unknown, 1, 0},
 		{"VM vanished, then overloaded", true, 5, 3, []passed{vanished, overloaded}, 502, outcome.Unknown, 2, 0},
 	}
 	for _, r := range rows {
@@ -117,6 +121,11 @@
 				t.Errorf("status %d, %s after %d detours and %d sends, want %d, %s, %d, %d", a.Status, a.Outcome, len(d.calls),
 					sends, r.status, r.outcome, r.detours, r.sends)
 			}
+			for _, c := range d.calls {
+				if c.Attempt < 2 {
+					t.Errorf("attempt number %d, want above 1, so that a late answer is awaited", c.Attempt)
+				}
+			}
 			if (a.RetryAfter > 0) != (a.Status >= 500) {
 				t.Errorf("status %d with retry delay %s, want a delay for 502 and 503 only", a.Status, a.RetryAfter)
 			}
