Close connections to other VMs 30 s after a partition

Found by reading: connections that a partition needed stayed in the pools of the partitioned VM until the other side closed them, and then as sockets that nobody closes. TestForward checks CloseIdle, and that a request and its answer pass between two VMs unchanged. The number of targets of a service is counted only if any target is silent.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// Close closes the idle connections now, and those in use when their exchanges end.
+func (e *Exchanger) Close() {
+	e.pool.Close()
+}
+
 // Do runs one exchange. It calls check immediately before it writes the first byte; if check returns a reason, the
 // exchange ends as NeverWritten.
 func (e *Exchanger) Do(ctx context.Context, c *call.Call, h http.Header, check func() outcome.Reason) Result {
--- a/connection/partition/detector.go
+++ b/connection/partition/detector.go
@@ -45,21 +45,25 @@
 	d.services[s] = c
 }
 
-// Partitioned reports whether this VM is partitioned from a service with the given number of targets. A service that
-// has not responded since another one fell silent counts as partitioned with that one, so that services with little
-// traffic need no failures of their own.
-func (d *Detector) Partitioned(s ident.Service, targets int) bool {
+// Partitioned reports whether this VM is partitioned from a service; targets returns the number of its targets and is
+// called only if any target is silent. A service that has not responded since another one fell silent counts as
+// partitioned with that one, so that services with little traffic need no failures of their own.
+func (d *Detector) Partitioned(s ident.Service, targets func() int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.services[s]
-	if c.partitioned(targets) {
+	if len(c.silent) == 0 && d.silent == 0 {
+		return false
+	}
+	n := targets()
+	if c.partitioned(n) {
 		return true
 	}
-	if targets == 0 || d.silent == 0 {
+	if n == 0 {
 		return false
 	}
-	for n, o := range d.services {
-		if n != s && o.partitioned(minSilentTargets) && c.lastAnswer < o.silentSince {
+	for v, o := range d.services {
+		if v != s && o.partitioned(minSilentTargets) && c.lastAnswer < o.silentSince {
 			return true
 		}
 	}
--- a/connection/partition/detector_test.go
+++ b/connection/partition/detector_test.go
@@ -11,6 +11,8 @@
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
 
+func count(targets int) func() int { return func() int { return targets } }
+
 // TestPartitioned checks when a VM counts as partitioned. In the contacts, a letter is a failed contact with that
 // target that began at this step, an exclamation mark is a response, and a digit n a contact with target n that began
 // before the last response and fails now.
@@ -47,7 +49,7 @@
 					d.Failed("s", ident.Target(e), c.Now())
 				}
 			}
-			if got := d.Partitioned("s", r.targets); got != r.want {
+			if got := d.Partitioned("s", count(r.targets)); got != r.want {
 				t.Errorf("partitioned %t, want %t", got, r.want)
 			}
 		})
@@ -66,12 +68,12 @@
 	for _, g := range []ident.Target{"a", "b", "c"} {
 		d.Failed("busy", g, c.Now())
 	}
-	if !d.Partitioned("idle", 8) {
+	if !d.Partitioned("idle", count(8)) {
 		t.Error("idle service not partitioned, want it to be with the busy one")
 	}
 	c.Advance(time.Second)
 	d.Answered("idle", c.Now())
-	if d.Partitioned("idle", 8) || !d.Partitioned("busy", 8) {
+	if d.Partitioned("idle", count(8)) || !d.Partitioned("busy", count(8)) {
 		t.Error("want the idle service reached again and the busy one partitioned")
 	}
 }
@@ -98,7 +100,7 @@
 				}
 				d.Failed("s", g, began)
 			}
-			if got, want := d.Partitioned("s", 6), len(silent) >= minSilentTargets; got != want {
+			if got, want := d.Partitioned("s", count(6)), len(silent) >= minSilentTargets; got != want {
 				t.Fatalf("partitioned %t with %d silent targets, want %t", got, len(silent), want)
 			}
 		}
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// CloseIdle closes the idle connections to all members. Calls in flight end as usual.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, x := range c.exchangers {
+		x.Close()
+		delete(c.exchangers, a)
+	}
+}
+
 func (c *Client) exchanger(a ident.Address) *exchange.Exchanger {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/connection/peer/peer_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/request/call"
+	"github.com/amaranthramp/amaranthramp/request/outcome"
+)
+
+// TestCallRoundTrip checks that a forwarded call arrives as it was sent, and that the name of a class can't make a call
+// idempotent that is not.
+func TestCallRoundTrip(t *testing.T) {
+	now := clock.NewFake().Now().Add(time.Minute)
+	for _, class := range []ident.Class{"read", "a;b", "x;idempotent", "x;1;idempotent", ""} {
+		for _, idempotent := range []bool{true, false} {
+			c := &call.Call{
+				ID: "id", Service: "s", Class: class, Idempotent: idempotent, Weight: 3, MaxAttempts: 2,
+				Objective: now.Add(200 * time.Millisecond), Header: http.Header{"X-Own": {"1"}},
+			}
+			r := httptest.NewRequest(http.MethodGet, "/p", nil)
+			r.Header = encodeCall(c, now)
+			got := decodeCall(r, nil, now)
+			if got.Class != class || got.Idempotent != idempotent || got.Weight != 3 || got.Service != "s" ||
+				got.MaxAttempts != 2 || got.Objective != c.Objective {
+				t.Errorf("call %+v, want %+v", got, c)
+			}
+			if got.Header.Get("X-Own") != "1" || got.Header.Get("User-Agent") != "" || got.Header.Get(call.HeaderClass) != "" {
+				t.Errorf("header %v, want the caller's own only", got.Header)
+			}
+		}
+	}
+}
+
+// echoDispatcher answers each call with its body and remembers the call.
+type echoDispatcher struct{ last *call.Call }
+
+func (d *echoDispatcher) Dispatch(_ context.Context, c *call.Call) call.Answer {
+	d.last = c
+	h := http.Header{"X-Seal": {"1"}, "Connection": {"close"}}
+	return call.Answer{Outcome: outcome.Done, Event: outcome.Completed{}, Status: 201, Header: h, Body: c.Body}
+}
+
+// TestForward checks that a call and its answer pass between two members unchanged, and that idle connections can be
+// closed.
+func TestForward(t *testing.T) {
+	d := &echoDispatcher{}
+	c := clock.New()
+	s := httptest.NewUnstartedServer(NewMux(d, c))
+	var open atomic.Int64
+	s.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		open.Add(map[http.ConnState]int64{http.StateNew: 1, http.StateClosed: -1}[s])
+	}
+	s.Start()
+	defer s.Close()
+	n := NewClient(exchange.NewBodyBudget(0), c)
+	q := &call.Call{
+		ID: "id", Service: "s", Class: "r", Method: "PUT", Path: "/a%2Fb/%C3%BC?x=1&y=%20", Host: "h.example",
+		Header: http.Header{"X-Own": {"1", "2"}}, Body: []byte(strings.Repeat("b", 100_000)), Attempt: 2,
+		Deadline: c.Now().Add(5 * time.Second),
+	}
+	began := c.Now()
+	a := n.Forward(context.Background(), ident.Address(s.Listener.Addr().String()), q)
+	if a.Outcome != outcome.Done || a.Status != 201 || string(a.Body) != string(q.Body) || a.Header.Get("X-Seal") != "1" ||
+		a.Header.Get("Content-Type") != "" {
+		t.Errorf("answer %s, status %d, header %v, %d bytes, want it unchanged", a.Outcome, a.Status, a.Header, len(a.Body))
+	}
+	l := d.last
+	// The header holds the time left, so that the deadline grows by the time on the way.
+	onTheWay := l.Deadline.Sub(q.Deadline)
+	if l.Method != q.Method || l.Path != q.Path || l.Host != q.Host || len(l.Header["X-Own"]) != 2 ||
+		len(l.Header["User-Agent"]) > 0 || l.ID != q.ID || onTheWay > c.Now().Sub(began) {
+		t.Errorf("call %s %s to %s, id %s, header %v, deadline later by %s, want it unchanged", l.Method, l.Path, l.Host,
+			l.ID, l.Header, onTheWay)
+	}
+	if open.Load() != 1 {
+		t.Errorf("%d connections open, want 1", open.Load())
+	}
+	n.CloseIdle()
+	for range 200 {
+		if open.Load() == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("%d connections open after CloseIdle, want none", open.Load())
+}
--- a/process/gateway/partition_test.go
+++ b/process/gateway/partition_test.go
@@ -96,11 +96,14 @@
 // sendOne sends a request and checks its answer against its runs.
 func (l *partitionLoad) sendOne(t *testing.T, i int, g *testGateway, path, id string) {
 	counted := l.counting.Load()
-	method := http.MethodGet
+	method, body, want := http.MethodGet, "", id+" 0"
 	if path == "/claim/1" {
-		method = http.MethodPost
+		method, body, want = http.MethodPost, "four", id+" 4"
+	}
+	p, answer, err := g.send(context.Background(), method, path, id, body)
+	if err == nil && p.StatusCode == http.StatusOK && answer != want {
+		t.Errorf("request %s was answered with %q, want %q", id, answer, want)
 	}
-	p, _, err := g.send(context.Background(), method, path, id, "")
 	runs := len(g.runLog.Runs(id))
 	if method == http.MethodPost && runs > 1 {
 		t.Errorf("claim %s ran %d times, want at most once", id, runs)
--- a/request/detour/router.go
+++ b/request/detour/router.go
@@ -65,7 +65,12 @@
 
 // Partitioned reports whether this VM has no path to the targets of a service.
 func (r *Router) Partitioned(s ident.Service) bool {
-	return r.detector.Partitioned(s, len(r.catalog.Get().Roster.Available(s)))
+	return r.detector.Partitioned(s, func() int { return r.targets(s) })
+}
+
+// targets returns the number of targets of a service that may get requests.
+func (r *Router) targets(s ident.Service) int {
+	return len(r.catalog.Get().Roster.Available(s))
 }
 
 // Pick returns the member through which a request to a service goes next; false if there is none but those in tried.
--- a/request/detour/watch.go
+++ b/request/detour/watch.go
@@ -26,6 +26,8 @@
 	refreshAfter  = knowledgeTime / 2
 	// wantedTime is how long a service is checked after a request to it went through another VM.
 	wantedTime = 2 * time.Second
+	// connectionTime is how long connections to other members are kept after a partition, which may come again.
+	connectionTime = 30 * time.Second
 	// maxAsked bounds the services in a message.
 	maxAsked = 16
 )
@@ -40,14 +42,21 @@
 // partition, and asks members which services they reach.
 func (r *Router) Run(ctx context.Context, p Prober) {
 	var before []ident.Service
+	var lastPartition clock.Instant
 	for clock.Sleep(ctx, checkInterval) {
 		l := r.partitionedServices()
 		r.logChanges(before, l)
 		r.partitioned.Store(int64(len(l)))
 		before = l
+		now := r.clock.Now()
 		if len(l) == 0 {
+			if lastPartition != 0 && now.Sub(lastPartition) >= connectionTime {
+				r.client.CloseIdle()
+				lastPartition = 0
+			}
 			continue
 		}
+		lastPartition = now
 		if t := r.catalog.Get().Table; t != nil {
 			for _, s := range l {
 				p.Recheck(t.Services[s])
@@ -150,8 +159,7 @@
 
 // reaches reports whether the service has targets and this VM is not partitioned from them.
 func (r *Router) reaches(s ident.Service) bool {
-	n := len(r.catalog.Get().Roster.Available(s))
-	return n > 0 && !r.detector.Partitioned(s, n)
+	return r.targets(s) > 0 && !r.Partitioned(s)
 }
 
 func (r *Router) recordAnswer(v ident.VM, reached []string) {
