--- a/request/relay/detour.go
+++ b/request/relay/detour.go
@@ -17,8 +17,8 @@
 // maxDetours is how many members a request may be sent through, one after the other.
 const maxDetours = 2
 
-// detourAttempt is the attempt number of a call that goes through another VM. Above 1, the exchange waits for
-// a late answer. A member with one slow request looks like one that does not respond.
+// detourAttempt is the attempt number of a call that goes through another VM. With a number above 1 the exchange waits
+// for a late answer, since a member with one slow request looks like one that does not respond.
 const detourAttempt ident.Attempt = 2
 
 // needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or has
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -149,8 +149,8 @@
 }
 
 // mayRetry reports whether the request may be retried and, if so, counts one retry towards the service's limit.
-// Attempts in which no target was contacted do not count towards the route's maximum of attempts. A request that has
-// been sent to other VMs only, without arriving at a target, is not a retry for the targets.
+// Attempts in which no target was contacted do not count towards the route's maximum of attempts. The first attempt to
+// arrive at a target is no retry for the service, whatever VMs it has been sent to before.
 func (r *Relay) mayRetry(ctx context.Context, s *requestState) bool {
 	if ctx.Err() != nil || s.call.Deadline.Sub(r.clock.Now()) < minTimeLeft {
 		return false
@@ -170,7 +170,8 @@
 	return false
 }
 
-// attempt makes one attempt and reports whether the retry rules allow another one.
+// attempt makes one attempt, through another VM if this one has no path to the targets, and reports whether the retry
+// rules allow another one.
 func (r *Relay) attempt(ctx context.Context, s *requestState) (call.Answer, bool) {
 	c := s.call
 	if left := r.quarantine.QuarantinedFor(s.fingerprint); left > 0 {
@@ -185,6 +186,13 @@
 		// Without a member to go through, a direct attempt shows at least whether the path is back.
 		s.noMember = true
 	}
+	return r.attemptDirectly(ctx, s)
+}
+
+// attemptDirectly makes one attempt at a target that this VM chooses, and reports whether the retry rules allow another
+// one.
+func (r *Relay) attemptDirectly(ctx context.Context, s *requestState) (call.Answer, bool) {
+	c := s.call
 	h, reason := r.chooser.Choose(ctx, r.newQuery(s))
 	if reason != "" {
 		s.pathFailed = s.pathFailed || h.Unanswered()
@@ -194,31 +202,37 @@
 		a.RetryAfter = max(a.RetryAfter, h.RetryAfter)
 		return s.withOverallOutcome(a), reason != outcome.Cancelled && r.needsDetour(s)
 	}
-	u := h.Upstream
 	began := r.clock.Now()
 	x := r.send(ctx, s, &h)
-	l := r.log.Info().Str("Request", string(c.ID)).Str("Target", string(u.Target.ID)).
-		Str("DataCentre", string(u.Target.DataCentre)).Int("Asked", h.Probed).Float64("Score", h.Score)
-	if h.Report.At != 0 {
-		// Without a report, the target was chosen by the number of this VM's own requests in flight alone.
-		l = l.Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Slowdown).
-			Dur("ReportAge", began.Sub(h.Report.At))
-	}
-	l.Str("End", eventName(x.Event)).Int("Status", x.Status).Dur("Took", r.clock.Now().Sub(began)).Msg("attempt ended")
+	r.logAttempt(s, &h, x, began)
 	if h.Report.At != 0 && x.Status == http.StatusOK {
 		r.latency.Observe(s.route.Name, h.Score, r.clock.Now().Sub(began))
 	}
 	v, unwritten := x.Event.(outcome.NeverWritten)
-	if !unwritten || v.Reason == outcome.Unreachable {
-		s.tried = append(s.tried, u.Target.ID)
+	unreachable := unwritten && v.Reason == outcome.Unreachable
+	if !unwritten || unreachable {
+		s.tried = append(s.tried, h.Upstream.Target.ID)
 	}
 	if !unwritten {
 		s.arrivals++
 	}
-	s.pathFailed = s.pathFailed || unwritten && v.Reason == outcome.Unreachable && h.Unanswered()
+	s.pathFailed = s.pathFailed || unreachable && h.Unanswered()
 	return r.evaluate(s, x)
 }
 
+// logAttempt logs the end of an attempt that began at the given instant.
+func (r *Relay) logAttempt(s *requestState, h *candidate.Choice, x exchange.Result, began clock.Instant) {
+	u := h.Upstream
+	l := r.log.Info().Str("Request", string(s.call.ID)).Str("Target", string(u.Target.ID)).
+		Str("DataCentre", string(u.Target.DataCentre)).Int("Asked", h.Probed).Float64("Score", h.Score)
+	if h.Report.At != 0 {
+		// Without a report, the target was chosen by the number of this VM's own requests in flight alone.
+		l = l.Int("Running", h.Report.Running).Int("Waiting", h.Report.Waiting).Float64("Pace", h.Report.Slowdown).
+			Dur("ReportAge", began.Sub(h.Report.At))
+	}
+	l.Str("End", eventName(x.Event)).Int("Status", x.Status).Dur("Took", r.clock.Now().Sub(began)).Msg("attempt ended")
+}
+
 // send sends the request to the chosen target. If the request could be retried on another target, a watchdog can cancel
 // the attempt.
 func (r *Relay) send(ctx context.Context, s *requestState, h *candidate.Choice) exchange.Result {
