Don't take a negative number of probes when turns come out of order

The log: panic in candidate.sample, slice bounds [:-1]. The time of a turn is read before the lock of the probe limiter; if another turn with a later time comes first, the tokens fall below zero and -1 probes are taken. The time then went back too, so that the span was counted twice. Ruled out elsewhere: the warm-up limiter and the limits of targets read the time under their lock. TestProbeLimiterTakesTurnsOutOfOrder failed at once before.

--- a/request/candidate/probe_limiter.go
+++ b/request/candidate/probe_limiter.go
@@ -66,10 +66,11 @@
 }
 
 // take removes up to n tokens and returns how many it removed. Tokens accumulate at the given rate per second, which is
-// this VM's probe rate.
+// this VM's probe rate. A concurrent call may have come first with a later time.
 func (l *probeLimiter) take(now clock.Instant, rate float64, n int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now = max(now, l.updatedAt)
 	l.tokens = min(l.tokens+rate*now.Sub(l.updatedAt).Seconds(), max(rate*burstWindow.Seconds(), 1))
 	l.updatedAt = now
 	n = min(n, int(l.tokens))
--- a/request/candidate/score_test.go
+++ b/request/candidate/score_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
@@ -102,3 +104,27 @@
 		t.Errorf("%d probes in %d s, want at least %.0f per second", taken, seconds, rate)
 	}
 }
+
+// TestProbeLimiterTakesTurnsOutOfOrder checks that requests whose turns come in another order than their times get
+// neither a negative number of probes nor more than the rate allows.
+func TestProbeLimiterTakesTurnsOutOfOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clock.NewFake()
+		c.Advance(time.Minute)
+		const rate, tokens = 20.0, 5.0
+		l := newProbeLimiter(c.Now(), tokens)
+		began, taken := c.Now(), 0
+		for range rapid.IntRange(1, 100).Draw(t, "turns") {
+			c.Advance(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			late := time.Duration(rapid.IntRange(0, 300).Draw(t, "late")) * time.Millisecond
+			n := l.take(c.Now().Add(-late), rate, rapid.IntRange(0, 5).Draw(t, "wanted"))
+			if n < 0 {
+				t.Fatalf("%d probes allowed, want at least none", n)
+			}
+			taken += n
+		}
+		if most := tokens + rate*c.Now().Sub(began).Seconds(); float64(taken) > most {
+			t.Fatalf("%d probes in %s, want at most %.1f", taken, c.Now().Sub(began), most)
+		}
+	})
+}
