--- a/request/detour/router.go
+++ b/request/detour/router.go
@@ -94,13 +94,13 @@
 	switch {
 	case NotPassedOn(&a):
 		r.stats.Refused++
-		r.knowledge.of(m.Name).failedAt[c.Service] = r.clock.Now()
 	case lost:
 		r.stats.Lost++
-		r.knowledge.of(m.Name).failedAt[c.Service] = r.clock.Now()
 	default:
 		r.stats.Passed++
+		return a
 	}
+	r.knowledge.of(m.Name).failedAt[c.Service] = r.clock.Now()
 	return a
 }
 
