--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -35,6 +35,7 @@
 	"stale":    runStale,
 	"teams":    runTeams,
 	"leave":    runPipelinedLeave,
+	"slash":    runEncodedSlash,
 }
 
 func main() {
