--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,7 @@
 	"teams":    runTeams,
 	"leave":    runPipelinedLeave,
 	"slash":    runEncodedSlash,
+	"caller":   runCallers,
 }
 
 func main() {
--- a/review/harness/teams.go
+++ b/review/harness/teams.go
@@ -21,8 +21,8 @@
 type tenantSpec struct {
 	Name  string   `json:"name"`
 	Keys  []string `json:"api-keys"`
-	Rate  float64  `json:"rate-per-s"`
-	Burst float64  `json:"burst"`
+	Rate  float64  `json:"rate-per-s,omitempty"`
+	Burst float64  `json:"burst,omitempty"`
 }
 
 // runTeams checks that each tenant is served far below its allowance after all machines have been replaced. A tenant
