--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -13,8 +13,22 @@
 	TimeoutMs   int    `json:"timeout-ms"`
 	AimMs       int    `json:"aim-ms"`
 	Priority    int    `json:"priority"`
-	Service     string `json:"service"`
+	Service     string `json:"service,omitempty"`
 	MaxAttempts int    `json:"max-attempts"`
+	// Split shares the requests among several services in place of Service.
+	Split []splitSpec `json:"traffic-split,omitempty"`
+}
+
+// splitSpec is a part of a split; the page says only that the weights give proportions.
+type splitSpec struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// under returns the same route with another prefix.
+func (r routeSpec) under(prefix string) routeSpec {
+	r.Name, r.PathPrefix = r.Name+prefix, prefix
+	return r
 }
 
 type serviceSpec struct {
@@ -63,7 +77,7 @@
 	c := configSpec{Version: version, Limits: l, Hosts: []hostSpec{{Host: host, Paths: r}}, Tenants: e.tenants}
 	seen := map[string]bool{}
 	for _, o := range r {
-		if !seen[o.Service] {
+		if o.Service != "" && !seen[o.Service] {
 			seen[o.Service] = true
 			c.Services = append(c.Services, serviceSpec{
 				Name: o.Service, HealthPath: "/health", MaxConns: 220, WarmupS: 3, WarmupRate: 4.6,
--- a/review/harness/consumer.go
+++ b/review/harness/consumer.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -56,6 +58,8 @@
 	seal       string
 	err        error
 	sent, done time.Time
+	// retryAfter is the time that the answer asks the consumer to wait.
+	retryAfter time.Duration
 }
 
 func (c *consumer) connect() error {
@@ -70,6 +74,18 @@
 	return nil
 }
 
+// closeIfEnded closes the connection if the gateway has closed it.
+func (c *consumer) closeIfEnded() {
+	if c.conn == nil {
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	var n net.Error
+	if _, err := c.reader.Peek(1); !errors.As(err, &n) || !n.Timeout() {
+		c.close()
+	}
+}
+
 func (c *consumer) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -130,6 +146,9 @@
 		return
 	}
 	o.status, o.seal = p.StatusCode, p.Header.Get(headerSeal)
+	if v, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64); err == nil {
+		o.retryAfter = time.Duration(v * float64(time.Second))
+	}
 	if p.Close {
 		c.close()
 	}
--- a/review/harness/env.go
+++ b/review/harness/env.go
@@ -269,6 +269,12 @@
 	return nil
 }
 
+// restarted writes the settings of a machine that starts again: the system as a whole does not start any more.
+func (g *gateway) restarted() {
+	g.first = false
+	_ = os.WriteFile(g.settings, []byte(g.env.settingsOf(g)), 0o600)
+}
+
 func (g *gateway) pid() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,8 @@
 	"teams":    runTeams,
 	"leave":    runPipelinedLeave,
 	"slash":    runEncodedSlash,
+	"stop":     runStop,
+	"fraction": runFraction,
 	"caller":   runCallers,
 }
 
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -97,7 +97,13 @@
 	answer func(w http.ResponseWriter, r *http.Request) bool
 	// beginning is called when a run begins.
 	beginning func(t *target, r *http.Request)
-	server    *http.Server
+	// queue is the number of requests that may wait; if it is zero, queueFactor for each slot.
+	queue int
+	// delay is the one-way delay of the network between a gateway and the target.
+	delay time.Duration
+	// ignored records what the target can't queue and therefore never answers; if it is nil, the target rejects that.
+	ignored *runs
+	server  *http.Server
 }
 
 // newTarget starts a target and registers it in the store.
@@ -127,6 +133,8 @@
 
 // ServeHTTP answers a health check, or runs a request.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(t.delay)
+	defer time.Sleep(t.delay)
 	h := w.Header()
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,100", t.running.Load(), t.waiting.Load(), t.slots))
 	if r.URL.Path == "/health" {
@@ -146,7 +154,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil || !t.acquire(r) {
+	_, err := io.Copy(io.Discard, r.Body)
+	if err != nil || !t.acquire(r) {
+		if err == nil && t.ignored != nil && r.Context().Err() == nil {
+			t.ignore(r)
+		}
 		h.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -174,7 +186,17 @@
 const queueFactor = 4
 
 func (t *target) acquire(r *http.Request) bool {
-	if t.waiting.Add(1) > int64(queueFactor*t.slots) {
+	select {
+	case t.inUse <- struct{}{}:
+		t.running.Add(1)
+		return true
+	default:
+	}
+	room := t.queue
+	if room == 0 {
+		room = queueFactor * t.slots
+	}
+	if t.waiting.Add(1) > int64(room) {
 		t.waiting.Add(-1)
 		return false
 	}
