Review case 5: a bad version keeps a third of the requests after its roll-back (EXPOSURE)

An order for a sound version is completed, the next one is for a bad version, and the store comes back from a copy that is two seconds old. The copy has the first order still running, which replaces the second one on all machines; when the second is back, the sound version counts as one that was not completed. Without old targets the order then restricts nothing, also once the system itself has written rolled_back.

--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -109,7 +109,7 @@
 	defer d.mu.Unlock()
 	d.starts++
 	t := &target{
-		env: d.env, id: fmt.Sprintf("%s-%d", d.name, d.starts), service: "planvakt", zone: d.zone,
+		env: d.env, id: fmt.Sprintf("%s-%d", d.name, d.starts), service: "planvakt", zone: d.zone, version: "v1",
 		address: l.Addr().String(), slots: callerSlots, work: callerWork, runs: d.runs,
 		inUse: make(chan struct{}, callerSlots),
 	}
--- a/review/harness/deadly.go
+++ b/review/harness/deadly.go
@@ -163,7 +163,7 @@
 	defer d.mu.Unlock()
 	d.starts++
 	t := &target{
-		env: d.env, id: fmt.Sprintf("%s-%d", d.name, d.starts), service: "remit-intake", zone: d.zone,
+		env: d.env, id: fmt.Sprintf("%s-%d", d.name, d.starts), service: "remit-intake", zone: d.zone, version: "v1",
 		address: l.Addr().String(), slots: 3, work: 100 * time.Millisecond, runs: d.runs, inUse: make(chan struct{}, 3),
 	}
 	var once sync.Once
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,6 +38,7 @@
 	"slash":    runEncodedSlash,
 	"stop":     runStop,
 	"fraction": runFraction,
+	"exposure": runExposure,
 	"caller":   runCallers,
 }
 
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -85,6 +85,7 @@
 	id      string
 	service string
 	zone    string
+	version string
 	address string
 	slots   int
 	work    time.Duration
@@ -108,13 +109,19 @@
 
 // newTarget starts a target and registers it in the store.
 func (e *env) newTarget(id, service, zone string, slots int, work time.Duration, r *runs) (*target, error) {
+	return e.newVersionTarget(id, service, zone, "v1", slots, work, r)
+}
+
+// newVersionTarget starts a target of a version of its software and registers it in the store.
+func (e *env) newVersionTarget(id, service, zone, version string, slots int, work time.Duration, r *runs,
+) (*target, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	t := &target{
 		env: e, id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, work: work, runs: r,
-		inUse: make(chan struct{}, slots),
+		inUse: make(chan struct{}, slots), version: version,
 	}
 	t.server = &http.Server{Handler: t, IdleTimeout: 10 * time.Second}
 	go func() { _ = t.server.Serve(l) }()
@@ -126,9 +133,9 @@
 // register writes the entry of the target to the store.
 func (t *target) register(state string) {
 	t.env.store.Put("servers", t.id, fmt.Sprintf(
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"max-concurrency":%d},`+
+		`{"address":%q,"born":%d,"info":{"service":%q,"version":%q,"zone":%q,"max-concurrency":%d},`+
 			`"status":{"state":%q,"seq-no":1,"warmup-left-ms":0}}`,
-		t.address, t.env.began.UnixMilli(), t.service, t.zone, t.slots, state))
+		t.address, t.env.began.UnixMilli(), t.service, t.version, t.zone, t.slots, state))
 }
 
 // ServeHTTP answers a health check, or runs a request.
