Review case 5: the bad version fails claims

Slow answers alone don't count for the review, so the bad version of case 5 (EXPOSURE) now fails a third of its requests with 500, and the requests are claims of an unsafe route, which nothing may repeat.

--- a/review/harness/exposure.go
+++ b/review/harness/exposure.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -16,11 +17,11 @@
 	exposureShare = 0.1
 	exposureSlack = 50
 
-	rolledService    = "offerbook"
+	rolledService    = "allocdesk"
 	versionTargets   = 6
 	versionSlots     = 3
 	versionWork      = 20 * time.Millisecond
-	badSlowness      = 6
+	badShare         = 1.0 / 3
 	exposureMachines = 6
 	exposureClients  = 30
 	exposurePause    = 150 * time.Millisecond
@@ -54,6 +55,8 @@
 	versions map[string]string
 	targets  map[string][]*target
 	copies   []storeCopy
+	// failed holds when each answer but a success came.
+	failed []time.Time
 	// back is when the store was back from the copy.
 	back time.Time
 }
@@ -72,12 +75,12 @@
 		env: e, runs: &runs{m: map[string][]*run{}}, versions: map[string]string{}, targets: map[string][]*target{},
 	}
 	if err := e.configure(1, defaultLimits(), routeSpec{
-		Name: "browse", PathPrefix: "/browse/", Kind: "safe", TimeoutMs: 2000, AimMs: 600, Priority: 2,
+		Name: "claim", PathPrefix: "/claim/", Kind: "unsafe", TimeoutMs: 2000, AimMs: 600, Priority: 0,
 		Service: rolledService, MaxAttempts: 2,
 	}); err != nil {
 		return verdict{}, err
 	}
-	if err := d.startVersion("v1", 1); err != nil {
+	if err := d.startVersion("v1", nil); err != nil {
 		return verdict{}, err
 	}
 	for i := range exposureMachines {
@@ -92,7 +95,7 @@
 	stop := make(chan struct{})
 	var w sync.WaitGroup
 	for i := range exposureClients {
-		w.Go(func() { d.browse(e.gateways[i%exposureMachines].front(), stop) })
+		w.Go(func() { d.claim(e.gateways[i%exposureMachines].front(), stop) })
 	}
 	go d.keepCopies(stop)
 	v, err := d.rollOutBoth(trouble)
@@ -104,7 +107,7 @@
 // rollOutBoth orders a good version and then a bad one.
 func (d *exposureCase) rollOutBoth(trouble bool) (verdict, error) {
 	time.Sleep(2 * time.Second)
-	if err := d.order("v2", 1); err != nil {
+	if err := d.order("v2", nil); err != nil {
 		return verdict{}, err
 	}
 	if s := d.awaitEnd("v2", goodSeconds*time.Second); s != "completed" {
@@ -113,7 +116,7 @@
 	d.stopVersion("v1")
 	time.Sleep(nextOrder)
 	ordered := time.Now()
-	if err := d.order("v3", badSlowness); err != nil {
+	if err := d.order("v3", failPart); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(restoreAfter)
@@ -134,15 +137,25 @@
 	return d.judge(ordered, limit, state), nil
 }
 
-// startVersion starts targets of a version whose work takes a multiple of the usual time.
-func (d *exposureCase) startVersion(version string, slowness int) error {
+// failPart fails a part of the requests once they have run.
+func failPart(w http.ResponseWriter, _ *http.Request) bool {
+	if rand.Float64() >= badShare {
+		return false
+	}
+	w.WriteHeader(http.StatusInternalServerError)
+	return true
+}
+
+// startVersion starts targets of a version; answer overrides the answers of a bad one.
+func (d *exposureCase) startVersion(version string, answer func(http.ResponseWriter, *http.Request) bool) error {
 	for i := range versionTargets {
 		id := fmt.Sprintf("i-%s-%d", version, i)
 		t, err := d.env.newVersionTarget(id, rolledService, zones[i%len(zones)], version, versionSlots,
-			time.Duration(slowness)*versionWork, d.runs)
+			versionWork, d.runs)
 		if err != nil {
 			return err
 		}
+		t.answer = answer
 		d.mu.Lock()
 		d.versions[id] = version
 		d.targets[version] = append(d.targets[version], t)
@@ -161,10 +174,10 @@
 }
 
 // order starts the targets of a version and orders its roll-out.
-func (d *exposureCase) order(version string, slowness int) error {
+func (d *exposureCase) order(version string, answer func(http.ResponseWriter, *http.Request) bool) error {
 	d.putOrder(version)
 	d.env.record("the operator orders %s", version)
-	return d.startVersion(version, slowness)
+	return d.startVersion(version, answer)
 }
 
 func (d *exposureCase) putOrder(version string) {
@@ -243,8 +256,8 @@
 	})
 }
 
-// browse sends requests on a kept connection until stop is closed.
-func (d *exposureCase) browse(address string, stop <-chan struct{}) {
+// claim sends requests on a kept connection until stop is closed.
+func (d *exposureCase) claim(address string, stop <-chan struct{}) {
 	c := &consumer{address: address}
 	defer c.close()
 	for {
@@ -253,9 +266,14 @@
 			return
 		case <-time.After(exposurePause):
 		}
-		o := c.do(newRequest(http.MethodGet, "/browse/offers", exposureLeft))
+		n := newRequest(http.MethodPost, "/claim/batch", exposureLeft)
+		n.body = []byte("batch=1")
+		o := c.do(n)
 		if o.status != http.StatusOK {
 			d.env.record("%s", o.text())
+			d.mu.Lock()
+			d.failed = append(d.failed, time.Now())
+			d.mu.Unlock()
 		}
 	}
 }
@@ -294,9 +312,23 @@
 	return verdict{
 		broken: float64(bad) > most || state == "completed",
 		text: fmt.Sprintf("EXPOSURE: the bad version got %d of %d requests from machines in touch, at most %.0f are "+
-			"allowed; %d more are excused; its order ended with %q, after which it got %d",
-			bad, total, most, excused, state, afterEnd),
+			"allowed; %d more are excused; its order ended with %q, after which it got %d of those that count; "+
+			"%d consumers got a failure after that end",
+			bad, total, most, excused, state, afterEnd, d.failedAfter(ended)),
+	}
+}
+
+// failedAfter counts the answers but successes that came after a time.
+func (d *exposureCase) failedAfter(end time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, at := range d.failed {
+		if !end.IsZero() && at.After(end) {
+			n++
+		}
 	}
+	return n
 }
 
 // endOf returns when the order of a version was ended.
