Log and count callers' connections and requests that end without an answer

New are metrics for requests in flight, unanswered by cause, and errors of callers' connections, log lines for each, and the errors of the HTTP servers as log lines.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,7 @@
 type callerServer struct {
 	listener net.Listener
 	handler  http.Handler
+	errorLog *log.Logger
 
 	mu          sync.Mutex
 	limits      route.Limits
@@ -31,8 +33,8 @@
 	closed  bool
 }
 
-func newCallerServer(l net.Listener, h http.Handler) *callerServer {
-	cs := &callerServer{listener: l, handler: h}
+func newCallerServer(l net.Listener, h http.Handler, e *log.Logger) *callerServer {
+	cs := &callerServer{listener: l, handler: h, errorLog: e}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.startServer(route.Limits{})
@@ -71,7 +73,7 @@
 func (cs *callerServer) startServer(l route.Limits) {
 	s := &http.Server{
 		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: int(l.HeaderBytes),
+		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
 	}
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
--- a/process/gateway/caller_server_test.go
+++ b/process/gateway/caller_server_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -49,7 +51,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cs := newCallerServer(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	cs := newCallerServer(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		log.New(io.Discard, "", 0))
 	go func() { _ = cs.serve() }()
 	old := dialAndSend(t, cs, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
--- a/process/gateway/forwarded.go
+++ b/process/gateway/forwarded.go
@@ -60,6 +60,7 @@
 	d := &forwardedDispatcher{gateway: g, slots: make(chan struct{}, maxForwarded)}
 	s := &http.Server{
 		Handler: peer.NewMux(d, g.clock), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ErrorLog: g.errorLog(),
 	}
 	if g.settings.ForwardAddress == "" {
 		return s, nil
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/connection/partition"
 	"github.com/amaranthramp/amaranthramp/connection/peer"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
@@ -78,6 +80,9 @@
 	metrics      *metrics
 	headers      *exchange.Headers
 	droppedLines func() uint64
+	inFlight     *inFlight
+	// listener accepts callers' connections; it is nil until the gateway runs.
+	listener atomic.Pointer[listener.Listener]
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
 }
@@ -134,6 +139,7 @@
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set, chooser: chooser, detours: d,
 		loads: x, gate: k, relay: relay.New(g, chooser, d, states, b, q, k, c, l), quarantine: q, rollouts: o,
 		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
+		inFlight: newInFlight(c, l),
 	}
 	y.limiter = allowance.New(f, y.limitOf, c, l)
 	f.HandleAllowance(y.limiter.Handle)
@@ -155,11 +161,10 @@
 		catalog: g.catalog, gate: g.gate, limiter: g.limiter, relay: g.relay, headers: g.headers, clock: g.clock,
 		ages: caller.NewAges(), metrics: g.metrics, log: g.log,
 	}
-	listener, err := net.Listen("tcp", string(g.settings.CallerAddress))
+	callers, err := g.listenForCallers(h)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	callers := newCallerServer(listener, alice.New(g.closeConnections).Then(h))
 	servers := []struct {
 		address ident.Address
 		handler http.Handler
@@ -178,7 +183,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}
+		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: g.errorLog()}
 		go func() { errs <- server.Serve(l) }()
 	}
 	// The background goroutines keep running until the planned stop is over.
@@ -208,6 +213,23 @@
 	}
 }
 
+// listenForCallers returns a server that passes callers' requests to h.
+func (g *Gateway) listenForCallers(h http.Handler) (*callerServer, error) {
+	l, err := net.Listen("tcp", string(g.settings.CallerAddress))
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	n := listener.New(l, g.log)
+	g.listener.Store(n)
+	track := func(next http.Handler) http.Handler { return g.inFlight.track(g.headers.RequestID, next) }
+	return newCallerServer(n, alice.New(track, g.closeConnections).Then(h), g.errorLog()), nil
+}
+
+// errorLog returns the logger for the errors that HTTP servers report themselves.
+func (g *Gateway) errorLog() *log.Logger {
+	return log.New(g.log.With().Str("Source", "HTTP server").Logger(), "", 0)
+}
+
 // followCatalog applies each new view of the catalog: it closes the connections to targets that are gone, and sets the
 // limits of the configuration and the members among which the keepers of allowances are chosen.
 func (g *Gateway) followCatalog(ctx context.Context, s *callerServer) {
@@ -292,6 +314,7 @@
 	time.Sleep(min(notReadyTime, g.settings.Grace/2))
 	err := errors.Join(s.shutdown(ctx), forwarded.Shutdown(ctx))
 	if errors.Is(err, context.DeadlineExceeded) {
+		g.inFlight.logRest()
 		g.log.Warn().Msg("planned stop ends with requests in flight")
 		return nil
 	}
--- /dev/null
+++ b/process/gateway/in_flight.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net/http"
+	"runtime/debug"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+// inFlight holds the requests of callers that are being handled. It is safe for concurrent use.
+type inFlight struct {
+	clock clock.Clock
+	log   zerolog.Logger
+
+	mu       sync.Mutex
+	requests map[*flight]struct{}
+	// panics counts the requests that ended with a panic, and disconnected those whose caller was gone at their end.
+	panics, disconnected uint64
+}
+
+// flight is a request that is being handled.
+type flight struct {
+	id, host, path string
+	began          clock.Instant
+}
+
+func newInFlight(c clock.Clock, l zerolog.Logger) *inFlight {
+	return &inFlight{clock: c, log: l, requests: map[*flight]struct{}{}}
+}
+
+// track returns a handler that handles requests with next and holds them meanwhile; header names their id.
+func (t *inFlight) track(header string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f := &flight{id: r.Header.Get(header), host: r.Host, path: r.URL.Path, began: t.clock.Now()}
+		t.begin(f)
+		defer func() {
+			p := recover()
+			t.end(f, r, p)
+			if p != nil {
+				panic(p)
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (t *inFlight) begin(f *flight) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests[f] = struct{}{}
+}
+
+// end removes a request, whose handler has ended with the panic p unless that is nil.
+func (t *inFlight) end(f *flight, r *http.Request, p any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.requests, f)
+	switch {
+	case p != nil:
+		t.panics++
+		t.describe(t.log.Error(), f).Interface("Panic", p).Bytes("Stack", debug.Stack()).Msg("panic while handling a request")
+	case r.Context().Err() != nil:
+		t.disconnected++
+		t.describe(t.log.Info(), f).Msg("caller disconnected before its answer")
+	}
+}
+
+// describe adds what identifies a request to a log line.
+func (t *inFlight) describe(e *zerolog.Event, f *flight) *zerolog.Event {
+	return e.Str("Request", f.id).Str("Host", f.host).Str("Path", f.path).Dur("Took", t.clock.Now().Sub(f.began))
+}
+
+// logRest logs the requests that are still being handled.
+func (t *inFlight) logRest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f := range t.requests {
+		t.describe(t.log.Warn(), f).Msg("planned stop ends with this request in flight")
+	}
+}
+
+// counts returns the numbers of requests in flight, of panics and of disconnected callers.
+func (t *inFlight) counts() (requests int, panics, disconnected uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.requests), t.panics, t.disconnected
+}
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -47,7 +47,7 @@
 		Help: "Requests for which targets in another data centre were considered first, because those here were full.",
 	}, func() float64 { return float64(g.loads.leftCount()) })
 	r.MustRegister(&retryCollector{retries: g.retries}, &detourCollector{detours: g.detours},
-		&allowanceCollector{limiter: g.limiter}, &admissionCollector{chooser: g.chooser})
+		&allowanceCollector{limiter: g.limiter}, &admissionCollector{chooser: g.chooser}, &connectionCollector{gateway: g})
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
