Close callers' connections without losing the end of an answer

The connection is closed right after its last answer; if bytes of a further, pipelined request are unread, the kernel resets it and drops what the caller hasn't received yet.

Connections of callers and of other VMs are now closed in two steps: the sending side at once, the rest when the other side has closed it or a second later, and what it still sends is discarded. A planned stop waits for them within the grace time. Closed connections that are still read from are bounded.

--- a/connection/listener/conn.go
+++ b/connection/listener/conn.go
@@ -2,15 +2,45 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
+	"sync"
+	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/amaranthramp/amaranthramp/ident"
 )
 
+// maxDiscarded bounds the bytes that are read from a closed connection.
+const maxDiscarded ident.Bytes = 1 << 20
+
 // conn is an accepted connection.
 type conn struct {
 	*net.TCPConn
 	listener *Listener
+	// reading is held while the server reads, so that the bytes of the other side are discarded only after that.
+	reading sync.Mutex
+
+	mu     sync.Mutex
+	closed bool
+	// ended means that the other side has closed or reset the connection.
+	ended bool
+}
+
+// Read reads from the connection until it is closed.
+func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.TCPConn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // Write writes to the connection and counts an error.
@@ -24,28 +54,61 @@
 	return n, err
 }
 
-// Close closes the connection and counts it if the other side has sent bytes that were not read.
+// SetReadDeadline sets the deadline for reads by the server; a closed connection keeps its own.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines for reads and writes by the server.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Close ends the sending side after all that was written, and the connection once the other side has closed it or
+// lingerTime is over. It does not wait for that.
 func (c *conn) Close() error {
-	if c.hasUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	if c.ended || !c.listener.startLingering() {
+		return c.TCPConn.Close()
+	}
+	if err := c.CloseWrite(); err != nil {
+		c.listener.endLingering()
+		return errors.Join(err, c.TCPConn.Close())
+	}
+	// A read of the server that is waiting ends with an error.
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	go c.linger()
+	return nil
+}
+
+// linger discards what the other side still sends, and closes the connection.
+func (c *conn) linger() {
+	defer c.listener.endLingering()
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	// Each error ends the connection all the same.
+	n, _ := io.CopyN(io.Discard, c.TCPConn, int64(maxDiscarded))
+	if n > 0 {
 		c.listener.unread.Add(1)
-		c.listener.log.Info().Str("Caller", c.RemoteAddr().String()).Msg("connection closed with unread bytes")
+		c.listener.log.Info().Str("Caller", c.RemoteAddr().String()).Int64("Bytes", n).
+			Msg("connection closed with unread bytes")
 	}
-	return c.TCPConn.Close()
+	_ = c.TCPConn.Close()
 }
 
-// hasUnread reports, without blocking, whether bytes have arrived that were not read.
-func (c *conn) hasUnread() bool {
-	r, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := 0
-	err = r.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if !errors.Is(e, unix.EAGAIN) {
-			unread = n
-		}
-	})
-	return err == nil && unread > 0
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
--- a/connection/listener/doc.go
+++ b/connection/listener/doc.go
@@ -1,2 +1,3 @@
-// Package listener accepts the connections of callers and of other VMs, and counts how they end.
+// Package listener accepts the connections of callers and of other VMs. It goes on after errors of Accept, and closes
+// connections so that the answers on them arrive.
 package listener
--- a/connection/listener/listener.go
+++ b/connection/listener/listener.go
@@ -1,18 +1,35 @@
 package listener
 
 import (
+	"context"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 )
 
-// Listener is a net.Listener that counts how the connections that it accepts end.
+const (
+	// lingerTime is how long a closed connection is read from while the other side has not closed it.
+	lingerTime = time.Second
+	// maxLingering bounds the closed connections that are read from at a time; further ones are closed at once.
+	maxLingering = 1024
+)
+
+// Listener is a net.Listener whose connections are closed in two steps: first the sending side, and the rest once the
+// other side has closed it or lingerTime is over. The kernel resets a connection that is closed while bytes of the
+// other side are unread, and then drops what it hasn't delivered of the last answer.
 type Listener struct {
 	net.Listener
 	log zerolog.Logger
 
 	failedAccepts, failedWrites, unread atomic.Uint64
+
+	mu        sync.Mutex
+	lingering int
+	// idle is closed when no connection lingers any more; it is nil while nobody waits.
+	idle chan struct{}
 }
 
 // Stats counts, since the start of the process, what went wrong with connections.
@@ -44,7 +61,48 @@
 	return &conn{TCPConn: t, listener: l}, nil
 }
 
+// Wait waits until all connections that were closed have ended, or for the end of the context, whose error it returns.
+func (l *Listener) Wait(ctx context.Context) error {
+	l.mu.Lock()
+	if l.lingering == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	c := l.idle
+	l.mu.Unlock()
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Stats returns the counts since the listener was made.
 func (l *Listener) Stats() Stats {
 	return Stats{FailedAccepts: l.failedAccepts.Load(), FailedWrites: l.failedWrites.Load(), Unread: l.unread.Load()}
 }
+
+// startLingering reports whether one more connection may linger; if so, endLingering must follow.
+func (l *Listener) startLingering() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lingering >= maxLingering {
+		return false
+	}
+	l.lingering++
+	return true
+}
+
+func (l *Listener) endLingering() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering--
+	if l.lingering == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
--- a/connection/listener/listener_test.go
+++ b/connection/listener/listener_test.go
@@ -1,6 +1,10 @@
 package listener
 
 import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -34,7 +38,7 @@
 	return New(l, zerolog.Nop())
 }
 
-// TestUnreadBytesAreCounted guards against connections that are reset on closing without a trace in the metrics.
+// TestUnreadBytesAreCounted guards against connections that are closed on bytes of the caller without a trace.
 func TestUnreadBytesAreCounted(t *testing.T) {
 	for _, r := range []struct {
 		sent string
@@ -47,8 +51,96 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 		_ = n.Close()
+		_ = c.Close()
+		wait(t, l, time.Second)
 		if s := l.Stats(); s.Unread != r.want {
 			t.Errorf("caller sent %q: %d connections with unread bytes, want %d", r.sent, s.Unread, r.want)
 		}
 	}
 }
+
+// TestAnswerArrivesBeforeReset guards against a connection that is reset, because bytes of the caller were unread when
+// it was closed, before the caller has received the whole answer.
+func TestAnswerArrivesBeforeReset(t *testing.T) {
+	l := listen(t)
+	c, n := connect(t, l)
+	if err := c.SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	answer := bytes.Repeat([]byte("x"), 256<<10)
+	if _, err := c.Write([]byte("next request")); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := n.Write(answer)
+		written <- errors.Join(err, n.Close())
+	}()
+	time.Sleep(100 * time.Millisecond)
+	got, err := io.ReadAll(c)
+	if err != nil || len(got) != len(answer) {
+		t.Errorf("caller got %d bytes, error %v, want %d bytes and the end of the connection", len(got), err, len(answer))
+	}
+	if err := <-written; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestCloseEndsReads guards against a server that goes on reading from a connection after it has closed it.
+func TestCloseEndsReads(t *testing.T) {
+	l := listen(t)
+	c, n := connect(t, l)
+	read := make(chan error, 1)
+	go func() {
+		_, err := n.Read(make([]byte, 10))
+		read <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	if err := n.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-read; err == nil {
+		t.Error("read ended without an error after Close")
+	}
+	if _, err := c.Write([]byte("late")); err != nil {
+		t.Fatal(err)
+	}
+	if k, err := n.Read(make([]byte, 10)); k != 0 || err == nil {
+		t.Errorf("read after Close: %d bytes, error %v, want none and an error", k, err)
+	}
+}
+
+// TestSilentCallerIsClosed guards against connections that stay for as long as their caller does not close them.
+func TestSilentCallerIsClosed(t *testing.T) {
+	l := listen(t)
+	_, n := connect(t, l)
+	_ = n.Close()
+	wait(t, l, lingerTime+time.Second)
+}
+
+// TestLingeringIsBounded guards against closed connections that use up the descriptors.
+func TestLingeringIsBounded(t *testing.T) {
+	l := listen(t)
+	l.lingering = maxLingering
+	c, n := connect(t, l)
+	_ = n.Close()
+	if err := c.SetReadDeadline(time.Now().Add(lingerTime / 2)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("caller read: error %v, want the end of the connection", err)
+	}
+	if l.lingering != maxLingering {
+		t.Errorf("%d connections linger, want %d", l.lingering, maxLingering)
+	}
+}
+
+// wait fails the test unless all closed connections end within d.
+func wait(t *testing.T, l *Listener, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	if err := l.Wait(ctx); err != nil {
+		t.Errorf("closed connections have not ended after %s: %v", d, err)
+	}
+}
--- a/process/gateway/forwarded.go
+++ b/process/gateway/forwarded.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/connection/peer"
 	"github.com/amaranthramp/amaranthramp/request/call"
 	"github.com/amaranthramp/amaranthramp/request/credential"
@@ -69,6 +70,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other VMs: %w", err)
 	}
-	go func() { errs <- s.Serve(l) }()
+	go func() { errs <- s.Serve(listener.New(l, g.log)) }()
 	return s, nil
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -312,7 +312,7 @@
 	g.draining.Store(true)
 	g.log.Info().Msg("planned stop begins")
 	time.Sleep(min(notReadyTime, g.settings.Grace/2))
-	err := errors.Join(s.shutdown(ctx), forwarded.Shutdown(ctx))
+	err := errors.Join(s.shutdown(ctx), forwarded.Shutdown(ctx), g.listener.Load().Wait(ctx))
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.inFlight.logRest()
 		g.log.Warn().Msg("planned stop ends with requests in flight")
--- /dev/null
+++ b/process/gateway/stop_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/amaranthramp/amaranthramp/platform"
+)
+
+// dialSlowReader connects to the gateway with a receive buffer that holds only a part of a long answer.
+func (b *testGateway) dialSlowReader(t *testing.T) net.Conn {
+	t.Helper()
+	const receiveBuffer = 4096
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		if err == nil {
+			err = controlErr
+		}
+		return err
+	}}
+	n, err := d.Dial("tcp", string(b.settings.CallerAddress))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+// writeRead sends a safe request with an id and the given time left; the answer repeats the id.
+func writeRead(t *testing.T, n net.Conn, id string, left time.Duration) {
+	t.Helper()
+	if _, err := fmt.Fprintf(n, "GET /read/1 HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n\r\n",
+		platform.Headers.RequestID, id, platform.Headers.TimeRemaining, left.Milliseconds()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStopLosesEndOfAnswer guards against a planned stop that resets the connection of a caller with pipelined requests
+// before the last answer has arrived.
+func TestStopLosesEndOfAnswer(t *testing.T) {
+	b := newTestGateway(t, 3, 300*time.Millisecond)
+	n := b.dialSlowReader(t)
+	b.stop()
+	time.Sleep(b.settings.Grace/2 - 200*time.Millisecond)
+	id := strings.Repeat("x", 30000)
+	writeRead(t, n, id, 2*time.Second)
+	time.Sleep(20 * time.Millisecond)
+	writeRead(t, n, "second", 2*time.Second)
+	time.Sleep(700 * time.Millisecond)
+	p, err := http.ReadResponse(bufio.NewReader(n), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := io.ReadAll(p.Body)
+	if err != nil || p.StatusCode != http.StatusOK || string(a) != id+" 0" {
+		t.Errorf("status %d, %d bytes, error %v, want the whole answer of %d bytes", p.StatusCode, len(a), err, len(id)+2)
+	}
+}
