Tell callers to close their connections once a planned stop has begun

What callers saw: nothing told them that the VM was about to stop, so that all kept connections were cut at once 2.5 s after SIGTERM, and requests that were under way then ended without an answer.

The gateway set Connection: close before it handled a request, and writeAnswer removed it with the headers that concern one connection. The entry process sets it when the status is written; that middleware is now in connection/listener and used by both, which also covers requests that were in flight when the stop began.

--- a/process/entry/drain.go
+++ b/process/entry/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
@@ -20,29 +19,6 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// closeConnectionsOnStop asks callers and peers to close their connections once a planned stop has begun, so that no
-// connection is cut while in use.
-func (e *Entry) closeConnectionsOnStop(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&connectionCloseWriter{ResponseWriter: w, stopping: &e.stopping}, r)
-	})
-}
-
-// connectionCloseWriter sets the Connection header last, just before the status is written, since handlers remove the
-// connection headers that upstreams sent.
-type connectionCloseWriter struct {
-	http.ResponseWriter
-	stopping *atomic.Bool
-}
-
-// WriteHeader writes the status, with "Connection: close" once a planned stop has begun.
-func (w *connectionCloseWriter) WriteHeader(status int) {
-	if w.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
 // drain performs a planned stop: the VM reports that it isn't ready, its shards pass to other members, requests in
 // flight complete, and then the servers shut down, the operators' server last.
 func (e *Entry) drain(servers []*http.Server) error {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/amaranthramp/amaranthramp/connection/exchange"
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/connection/peer"
 	"github.com/amaranthramp/amaranthramp/connection/pool"
 	"github.com/amaranthramp/amaranthramp/ident"
@@ -115,9 +116,10 @@
 	mux.Register(quarantine.Kind, e.quarantine.Receive)
 	mux.Register(handover.Kind, e.dispatcher.ReceiveHandover)
 	mux.Register(handover.QueryKind, e.dispatcher.AnswerHandoverQuery)
+	c := listener.CloseOnStop(e.stopping.Load)
 	servers := []*http.Server{
-		{Addr: string(a.CallerAddress), Handler: alice.New(e.closeConnectionsOnStop).Then(caller.New(e.views, f, e.clock))},
-		{Addr: string(a.PeerAddress), Handler: alice.New(e.closeConnectionsOnStop).Then(mux)},
+		{Addr: string(a.CallerAddress), Handler: alice.New(c).Then(caller.New(e.views, f, e.clock))},
+		{Addr: string(a.PeerAddress), Handler: alice.New(c).Then(mux)},
 		{Addr: string(a.OperatorAddress), Handler: e.operatorHandler()},
 	}
 	failed := make(chan error, len(servers))
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -222,7 +222,7 @@
 	n := listener.New(l, g.log)
 	g.listener.Store(n)
 	track := func(next http.Handler) http.Handler { return g.inFlight.track(g.headers.RequestID, next) }
-	return newCallerServer(n, alice.New(track, g.closeConnections).Then(h), g.errorLog()), nil
+	return newCallerServer(n, alice.New(track, listener.CloseOnStop(g.draining.Load)).Then(h), g.errorLog()), nil
 }
 
 // errorLog returns the logger for the errors that HTTP servers report themselves.
@@ -285,17 +285,6 @@
 	return m
 }
 
-// closeConnections tells callers to close their connections, with the header Connection: close, once a planned stop has
-// begun.
-func (g *Gateway) closeConnections(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 const (
 	// notReadyTime is how long the VM reports not ready at a planned stop before it stops accepting connections. The
 	// platform's load balancer checks readiness once a second; the time covers two checks.
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("status %d, %d bytes, error %v, want the whole answer of %d bytes", p.StatusCode, len(a), err, len(id)+2)
 	}
 }
+
+// TestStopClosesConnectionsByHeader guards against callers that are not told of a planned stop, so that their next
+// requests cross the close of the connection.
+func TestStopClosesConnectionsByHeader(t *testing.T) {
+	b := newTestGateway(t, 2, 10*time.Millisecond)
+	rows := []struct{ name, path string }{{"answer of a target", "/read/1"}, {"own answer", "/other/"}}
+	for _, stopped := range []bool{false, true} {
+		if stopped {
+			b.stop()
+			b.waitUntil(t, "stop begun", func() bool { return b.readinessStatus() != http.StatusOK })
+		}
+		for _, r := range rows {
+			p, _, err := b.send(t.Context(), "GET", r.path, "h", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p.Close != stopped {
+				t.Errorf("%s, planned stop %t: Connection: close %t", r.name, stopped, p.Close)
+			}
+		}
+	}
+}
