Go on after errors of Accept and of reads of datagrams

What callers saw: all requests in flight on a VM lost at once, since its gateway ended by itself when Accept failed, for example without descriptors (LOST).

The class is a loop that takes each error for the end of its socket. The same stood in the fetches and the datagrams between members of the fleet and of process/membership, which stopped for good and without a log line, and in the link between control and entry process. All now use connection/listener, which waits and goes on unless the socket is closed. Those of control, entry and fleet also close connections in two steps.

Evidence: TestAcceptWithoutDescriptors and TestDatagramsAfterError describe the loops before, which returned on the first error.

--- a/connection/listener/listener.go
+++ b/connection/listener/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,9 @@
 const (
 	// lingerTime is how long a closed connection is read from while the other side has not closed it.
 	lingerTime = time.Second
+	// minAcceptDelay and maxAcceptDelay bound the delay after a failed Accept, which doubles with each failure in a row.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 	// maxLingering bounds the closed connections that are read from at a time; further ones are closed at once.
 	maxLingering = 1024
 )
@@ -47,12 +51,20 @@
 	return &Listener{Listener: l, log: g}
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. It fails only once the listener is closed: other errors, such as a lack of
+// descriptors, end when connections do, and must not end the requests in flight.
 func (l *Listener) Accept() (net.Conn, error) {
+	delay := minAcceptDelay
 	n, err := l.Listener.Accept()
-	if err != nil {
+	for err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
 		l.failedAccepts.Add(1)
-		return nil, err
+		l.log.Warn().Err(err).Dur("Delay", delay).Msg("could not accept a connection")
+		time.Sleep(delay)
+		delay = min(2*delay, maxAcceptDelay)
+		n, err = l.Listener.Accept()
 	}
 	t, ok := n.(*net.TCPConn)
 	if !ok {
--- a/connection/listener/listener_test.go
+++ b/connection/listener/listener_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -144,3 +146,70 @@
 		t.Errorf("closed connections have not ended after %s: %v", d, err)
 	}
 }
+
+// failingListener fails the first calls of Accept as one does that has no descriptors.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptWithoutDescriptors guards against a process that ends, with all requests in flight, when Accept fails.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	l := listen(t)
+	l.Listener = &failingListener{Listener: l.Listener, failures: 3}
+	connect(t, l)
+	if s := l.Stats(); s.FailedAccepts != 3 {
+		t.Errorf("%d failed accepts, want 3", s.FailedAccepts)
+	}
+	_ = l.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept after Close: error %v, want %v", err, net.ErrClosed)
+	}
+}
+
+// failingPackets fails the first reads.
+type failingPackets struct {
+	net.PacketConn
+	failures int
+}
+
+func (c *failingPackets) ReadFrom(b []byte) (int, net.Addr, error) {
+	if c.failures > 0 {
+		c.failures--
+		return 0, nil, &net.OpError{Op: "read", Net: "udp", Err: os.NewSyscallError("recvfrom", syscall.ENOBUFS)}
+	}
+	return c.PacketConn.ReadFrom(b)
+}
+
+// TestDatagramsAfterError guards against a process that receives nothing any more after one failed read.
+func TestDatagramsAfterError(t *testing.T) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan string, 1)
+	go func() {
+		ReadDatagrams(&failingPackets{PacketConn: c, failures: 2}, 100, zerolog.Nop(), func(_ net.Addr, b []byte) {
+			got <- string(b)
+		})
+		close(got)
+	}()
+	if _, err := c.WriteTo([]byte("digest"), c.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	if s := <-got; s != "digest" {
+		t.Errorf("received %q, want the datagram after the failed reads", s)
+	}
+	_ = c.Close()
+	if _, open := <-got; open {
+		t.Error("received a datagram after the end")
+	}
+}
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/process/link"
@@ -91,7 +92,7 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	h := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout}
-	go func() { _ = h.Serve(o) }()
+	go func() { _ = h.Serve(listener.New(o, c.log)) }()
 	// Everything keeps running while the process drains, so ctx must not cancel it.
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	go c.spread.Run(serveCtx)
@@ -107,7 +108,8 @@
 	c.log.Info().Str("DataCentre", string(c.settings.DataCentre)).Msg("control process started")
 	go func() {
 		// Serve returns when the listener is closed.
-		_ = link.Serve(serveCtx, n, link.Handlers{Hello: c.handleHello, Status: c.handleStatus, Leave: c.handleLeave})
+		l := listener.New(n, c.log)
+		_ = link.Serve(serveCtx, l, link.Handlers{Hello: c.handleHello, Status: c.handleStatus, Leave: c.handleLeave})
 	}()
 	return c.membership.Run(serveCtx)
 }
--- a/process/entry/drain.go
+++ b/process/entry/drain.go
@@ -34,6 +34,9 @@
 	for _, s := range servers {
 		l = append(l, s.Shutdown(ctx))
 	}
+	for _, n := range e.listeners {
+		l = append(l, n.Wait(ctx))
+	}
 	e.claimer.Drain()
 	e.log.Info().Msg("planned stop ends")
 	return errors.Join(l...)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -65,6 +65,8 @@
 	// viewNotice gets an item after each view that is stored.
 	viewNotice *ring.Ring[struct{}]
 	sender     *handover.Sender
+	// listeners accept the connections of callers, other members and operators.
+	listeners []*listener.Listener
 	// stopping is set once a planned stop has begun.
 	stopping atomic.Bool
 	// leaveNotice gets an item when the control process is to be notified of the planned stop.
@@ -129,7 +131,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		go func() { failed <- s.Serve(l) }()
+		n := listener.New(l, e.log)
+		e.listeners = append(e.listeners, n)
+		go func() { failed <- s.Serve(n) }()
 	}
 	// The background tasks keep running while the process drains, so ctx must not cancel them.
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -111,39 +112,36 @@
 }
 
 // receiveDigests handles incoming digests until the socket is closed.
-func (f *Fleet) receiveDigests(u *net.UDPConn) {
-	b := make([]byte, maxDatagram)
+func (f *Fleet) receiveDigests(u net.PacketConn) {
 	s := &reassembler{}
-	for {
-		n, from, err := u.ReadFromUDPAddrPort(b)
-		if err != nil {
-			return
-		}
-		d := &wire.Digest{}
-		err = proto.Unmarshal(b[:n], d)
-		if err == nil && f.handleMessage(d) {
-			continue
-		}
-		if err != nil || len(d.GetChanged()) != int(listedKinds) ||
-			len(d.GetAsOf()) != int(listedKinds) || len(d.GetSums()) != int(listedKinds) {
-			f.log.Warn().Str("From", from.String()).Msg("received a datagram that is not a valid digest")
-			continue
-		}
-		reader := ident.Address(d.GetAddress())
-		if reader == "" {
-			reader = ident.Address(from.String())
-		}
-		if d.GetRelay() {
-			f.relayQueue.Replace(proto.CloneOf(d))
-		}
-		if d.GetPiece() != nil {
-			f.recordReader(d)
-			f.handleFragment(s, d.GetPiece(), reader)
-			continue
-		}
-		f.loads.Follow(d.GetLoad())
-		f.handleDigest(d, reader)
+	listener.ReadDatagrams(u, maxDatagram, f.log, func(from net.Addr, b []byte) { f.receiveDigest(s, from, b) })
+}
+
+func (f *Fleet) receiveDigest(s *reassembler, from net.Addr, b []byte) {
+	d := &wire.Digest{}
+	err := proto.Unmarshal(b, d)
+	if err == nil && f.handleMessage(d) {
+		return
+	}
+	if err != nil || len(d.GetChanged()) != int(listedKinds) ||
+		len(d.GetAsOf()) != int(listedKinds) || len(d.GetSums()) != int(listedKinds) {
+		f.log.Warn().Str("From", from.String()).Msg("received a datagram that is not a valid digest")
+		return
+	}
+	reader := ident.Address(d.GetAddress())
+	if reader == "" {
+		reader = ident.Address(from.String())
+	}
+	if d.GetRelay() {
+		f.relayQueue.Replace(proto.CloneOf(d))
+	}
+	if d.GetPiece() != nil {
+		f.recordReader(d)
+		f.handleFragment(s, d.GetPiece(), reader)
+		return
 	}
+	f.loads.Follow(d.GetLoad())
+	f.handleDigest(d, reader)
 }
 
 // handleFragment applies an update once its last fragment has arrived, unless this VM lacks changes from before it or
--- a/process/fleet/fetch.go
+++ b/process/fleet/fetch.go
@@ -54,6 +54,7 @@
 	for {
 		n, err := l.Accept()
 		if err != nil {
+			// The listener goes on after all errors but that it is closed.
 			return
 		}
 		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(n), h)
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/catalog"
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -178,7 +179,7 @@
 		return errors.Join(err, u.Close())
 	}
 	go f.receiveDigests(u)
-	go f.serveFetches(ctx, l)
+	go f.serveFetches(ctx, listener.New(l, f.log))
 	go f.fetchUpdates(ctx)
 	go f.announce(ctx)
 	go f.relayDigests(ctx)
--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -45,10 +45,6 @@
 func (cs *callerServer) serve() error {
 	for {
 		c, err := cs.listener.Accept()
-		var n net.Error
-		if errors.As(err, &n) && n.Timeout() {
-			continue
-		}
 		if err != nil {
 			return err
 		}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/process/lease"
@@ -192,14 +193,9 @@
 
 // readDatagrams handles datagrams until the connection is closed. Datagrams that can't be decoded are dropped.
 func (m *Membership) readDatagrams(c net.PacketConn) {
-	b := make([]byte, maxDatagram)
-	for {
-		n, a, err := c.ReadFrom(b)
-		if err != nil {
-			return
-		}
-		m.handleDatagram(ident.Address(a.String()), b[:n])
-	}
+	listener.ReadDatagrams(c, maxDatagram, m.log, func(from net.Addr, b []byte) {
+		m.handleDatagram(ident.Address(from.String()), b)
+	})
 }
 
 func (m *Membership) handleDatagram(from ident.Address, b []byte) {
