Answer the requests that are in flight at the end of a planned stop

What callers saw: a connection that ended without an answer when the process did, for requests that no target had answered by then (LOST). The planned stop waited for the requests in flight and then returned without answering the rest.

An error of one of the servers also begins a planned stop; it ended the process at once, with all requests in flight.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -24,6 +24,8 @@
 	listener net.Listener
 	handler  http.Handler
 	errorLog *log.Logger
+	// requests is the context of all requests.
+	requests func() context.Context
 
 	mu          sync.Mutex
 	limits      route.Limits
@@ -33,8 +35,10 @@
 	closed  bool
 }
 
-func newCallerServer(l net.Listener, h http.Handler, e *log.Logger) *callerServer {
-	cs := &callerServer{listener: l, handler: h, errorLog: e}
+func newCallerServer(
+	l net.Listener, h http.Handler, e *log.Logger, requests func() context.Context,
+) *callerServer {
+	cs := &callerServer{listener: l, handler: h, errorLog: e, requests: requests}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.startServer(route.Limits{})
@@ -70,6 +74,7 @@
 	s := &http.Server{
 		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
+		BaseContext: func(net.Listener) context.Context { return cs.requests() },
 	}
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
@@ -84,13 +89,20 @@
 	go func() { _ = s.Serve(h) }()
 }
 
-// shutdown stops accepting connections and waits for the requests in flight.
-func (cs *callerServer) shutdown(ctx context.Context) error {
+// close stops accepting connections.
+func (cs *callerServer) close() error {
 	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	cs.closed = true
+	return cs.listener.Close()
+}
+
+// shutdown waits for the requests in flight; close must have been called.
+func (cs *callerServer) shutdown(ctx context.Context) error {
+	cs.mu.Lock()
 	l := cs.httpServers
 	cs.mu.Unlock()
-	errs := []error{cs.listener.Close()}
+	var errs []error
 	var w sync.WaitGroup
 	var mu sync.Mutex
 	for _, s := range l {
--- a/process/gateway/caller_server_test.go
+++ b/process/gateway/caller_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -52,7 +53,7 @@
 		t.Fatal(err)
 	}
 	cs := newCallerServer(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-		log.New(io.Discard, "", 0))
+		log.New(io.Discard, "", 0), context.Background)
 	go func() { _ = cs.serve() }()
 	old := dialAndSend(t, cs, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
@@ -77,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := cs.shutdown(ctx); err != nil {
+	if err := errors.Join(cs.close(), cs.shutdown(ctx)); err != nil {
 		t.Error(err)
 	}
 }
--- a/process/gateway/forwarded.go
+++ b/process/gateway/forwarded.go
@@ -61,7 +61,7 @@
 	d := &forwardedDispatcher{gateway: g, slots: make(chan struct{}, maxForwarded)}
 	s := &http.Server{
 		Handler: peer.NewMux(d, g.clock), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: g.errorLog(),
+		ErrorLog: g.errorLog(), BaseContext: func(net.Listener) context.Context { return g.requests() },
 	}
 	if g.settings.ForwardAddress == "" {
 		return s, nil
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -81,6 +81,9 @@
 	headers      *exchange.Headers
 	droppedLines func() uint64
 	inFlight     *inFlight
+	// requests returns the context of all requests, and abandon ends it with a cause.
+	requests func() context.Context
+	abandon  context.CancelCauseFunc
 	// listener accepts callers' connections; it is nil until the gateway runs.
 	listener atomic.Pointer[listener.Listener]
 	// draining is set when a planned stop begins.
@@ -141,6 +144,8 @@
 		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
 		inFlight: newInFlight(c, l),
 	}
+	requests, abandon := context.WithCancelCause(context.Background())
+	y.requests, y.abandon = func() context.Context { return requests }, abandon
 	y.limiter = allowance.New(f, y.limitOf, c, l)
 	f.HandleAllowance(y.limiter.Handle)
 	f.HandleReach(func(m *wire.ReachNews, from ident.Address) { d.Handle(m, from, y.acceptsForwarded()) })
@@ -207,7 +212,8 @@
 		Str("DataCentre", string(g.settings.DataCentre)).Msg("gateway started")
 	select {
 	case err := <-errs:
-		return fmt.Errorf("serve: %w", err)
+		g.log.Error().Err(err).Msg("server failed")
+		return errors.Join(fmt.Errorf("serve: %w", err), g.stop(callers, forwarded))
 	case <-ctx.Done():
 		return g.stop(callers, forwarded)
 	}
@@ -222,7 +228,8 @@
 	n := listener.New(l, g.log)
 	g.listener.Store(n)
 	track := func(next http.Handler) http.Handler { return g.inFlight.track(g.headers.RequestID, next) }
-	return newCallerServer(n, alice.New(track, listener.CloseOnStop(g.draining.Load)).Then(h), g.errorLog()), nil
+	c := alice.New(track, listener.CloseOnStop(g.draining.Load)).Then(h)
+	return newCallerServer(n, c, g.errorLog(), g.requests), nil
 }
 
 // errorLog returns the logger for the errors that HTTP servers report themselves.
@@ -284,29 +291,3 @@
 	m.HandleFunc("POST /where", g.serveWhere)
 	return m
 }
-
-const (
-	// notReadyTime is how long the VM reports not ready at a planned stop before it stops accepting connections. The
-	// platform's load balancer checks readiness once a second; the time covers two checks.
-	notReadyTime = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace time that is left when the last requests in flight are abandoned.
-	shutdownMargin = 300 * time.Millisecond
-)
-
-// stop performs the planned stop: it reports not ready, accepts connections for as long as the platform's load balancer
-// may still send some, then finishes the requests in flight, those from other VMs too.
-func (g *Gateway) stop(s *callerServer, forwarded *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-shutdownMargin)
-	defer cancel()
-	g.draining.Store(true)
-	g.log.Info().Msg("planned stop begins")
-	time.Sleep(min(notReadyTime, g.settings.Grace/2))
-	err := errors.Join(s.shutdown(ctx), forwarded.Shutdown(ctx), g.listener.Load().Wait(ctx))
-	if errors.Is(err, context.DeadlineExceeded) {
-		g.inFlight.logRest()
-		g.log.Warn().Msg("planned stop ends with requests in flight")
-		return nil
-	}
-	g.log.Info().Msg("planned stop ends")
-	return err
-}
--- a/process/gateway/in_flight.go
+++ b/process/gateway/in_flight.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -17,8 +19,9 @@
 
 	mu       sync.Mutex
 	requests map[*flight]struct{}
-	// panics counts the requests that ended with a panic, and disconnected those whose caller was gone at their end.
-	panics, disconnected uint64
+	// panics counts the requests that ended with a panic, disconnected those whose caller was gone at their end, and
+	// abandoned those that were in flight at the end of the grace time.
+	panics, disconnected, abandoned uint64
 }
 
 // flight is a request that is being handled.
@@ -62,6 +65,8 @@
 	case p != nil:
 		t.panics++
 		t.describe(t.log.Error(), f).Interface("Panic", p).Bytes("Stack", debug.Stack()).Msg("panic while handling a request")
+	case errors.Is(context.Cause(r.Context()), errStopping):
+		t.abandoned++
 	case r.Context().Err() != nil:
 		t.disconnected++
 		t.describe(t.log.Info(), f).Msg("caller disconnected before its answer")
@@ -78,13 +83,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f := range t.requests {
-		t.describe(t.log.Warn(), f).Msg("planned stop ends with this request in flight")
+		t.describe(t.log.Warn(), f).Msg("request abandoned at the end of the planned stop")
 	}
 }
 
-// counts returns the numbers of requests in flight, of panics and of disconnected callers.
-func (t *inFlight) counts() (requests int, panics, disconnected uint64) {
+// inFlightCounts are the number of requests in flight and those of requests that ended without the answer of a target.
+type inFlightCounts struct {
+	requests                        int
+	panics, disconnected, abandoned uint64
+}
+
+func (t *inFlight) counts() inFlightCounts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.requests), t.panics, t.disconnected
+	return inFlightCounts{
+		requests: len(t.requests), panics: t.panics, disconnected: t.disconnected, abandoned: t.abandoned,
+	}
 }
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/amaranthramp/amaranthramp/platform"
+	"github.com/amaranthramp/amaranthramp/standin/objects"
 )
 
 // dialSlowReader connects to the gateway with a receive buffer that holds only a part of a long answer.
@@ -88,3 +91,37 @@
 		}
 	}
 }
+
+// TestStopAnswersSilentTargets guards against requests that are cut without an answer at the end of a planned stop,
+// because no target answers them.
+func TestStopAnswersSilentTargets(t *testing.T) {
+	b := &testGateway{log: zerolog.Nop(), store: objects.New()}
+	b.store.Put("config", "main",
+		strings.ReplaceAll(fmt.Sprintf(configuration, 1), `"timeout-ms":2000`, `"timeout-ms":60000`))
+	b.startWithTargets(t, 2, time.Hour)
+	n, err := net.Dial("tcp", string(b.settings.CallerAddress))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	if _, err := fmt.Fprintf(n, "POST /claim/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n%s: s1\r\n\r\n",
+		platform.Headers.RequestID); err != nil {
+		t.Fatal(err)
+	}
+	b.waitUntil(t, "request at a target", func() bool { return len(b.runLog.Runs("s1")) > 0 })
+	began := time.Now()
+	b.stop()
+	p, err := http.ReadResponse(bufio.NewReader(n), nil)
+	if err != nil {
+		t.Fatalf("%s after the stop began: %v", time.Since(began), err)
+	}
+	if d := time.Since(began); p.StatusCode != http.StatusBadGateway || d < b.settings.Grace*5/6 {
+		t.Errorf("status %d after %s, want 502 in the last sixth of the grace time", p.StatusCode, d)
+	}
+	if err := <-b.done; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(began); d > b.settings.Grace {
+		t.Errorf("stop took %s, want at most the grace time of %s", d, b.settings.Grace)
+	}
+}
