--- a/process/gateway/in_flight.go
+++ b/process/gateway/in_flight.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/amaranthramp/amaranthramp/process/clock"
+	"github.com/amaranthramp/amaranthramp/request/call"
+	"github.com/amaranthramp/amaranthramp/request/outcome"
 )
 
 // inFlight holds the requests of callers that are being handled. It is safe for concurrent use.
@@ -34,19 +36,21 @@
 	return &inFlight{clock: c, log: l, requests: map[*flight]struct{}{}}
 }
 
-// track returns a handler that handles requests with next and holds them meanwhile; header names their id.
+// track returns a handler that handles requests with next and holds them meanwhile; header names their id. A request
+// whose handler panics is answered all the same, since net/http would close its connection without an answer.
 func (t *inFlight) track(header string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f := &flight{id: r.Header.Get(header), host: r.Host, path: r.URL.Path, began: t.clock.Now()}
 		t.begin(f)
+		s := &statusWriter{ResponseWriter: w}
 		defer func() {
 			p := recover()
 			t.end(f, r, p)
 			if p != nil {
-				panic(p)
+				s.writeInternalError(header, f.id)
 			}
 		}()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(s, r)
 	})
 }
 
@@ -100,3 +104,37 @@
 		requests: len(t.requests), panics: t.panics, disconnected: t.disconnected, abandoned: t.abandoned,
 	}
 }
+
+// statusWriter knows whether the status of an answer has been written.
+type statusWriter struct {
+	http.ResponseWriter
+	written bool
+}
+
+// WriteHeader writes the status.
+func (w *statusWriter) WriteHeader(status int) {
+	w.written = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer behind this one, for http.ResponseController.
+func (w *statusWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
+
+// writeInternalError answers the request with the given id, which may have run. If an answer has begun it can't be
+// completed, so that the connection is closed.
+func (w *statusWriter) writeInternalError(header, id string) {
+	if w.written {
+		panic(http.ErrAbortHandler)
+	}
+	d := w.Header()
+	clear(d)
+	if id != "" {
+		d.Set(header, id)
+	}
+	a := call.Unknown(outcome.InternalError)
+	d.Set(call.HeaderOutcome, string(a.Outcome))
+	d.Set(call.HeaderReason, string(a.Reason))
+	w.WriteHeader(a.Status)
+}
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -70,6 +70,8 @@
 	NoKeeper Reason = "no-keeper"
 	// BadRequest means that the request could not be read or is invalid.
 	BadRequest Reason = "bad-request"
+	// InternalError means that handling the request failed by a fault of the program.
+	InternalError Reason = "internal-error"
 )
 
 // Event is how one attempt ended. The retry rules distinguish its implementations by type.
