Report a success of a suspect with its age

Cause: a fault of the table. A member that lifts a quarantine because of an earlier success reports that success without its age, and the others date it when they learn of it. A death that another member counted between the success and then comes before the success to them, so they lift the next quarantine, though no success came since its first death. In service the instants differ, but the same happens if a target dies while the news of a lift is under way. Ruled out: a wrong demand of the test; equal instants only make it frequent, TestReportedSuccessIsNotNew has none. A report that is not sent: the lift, the death and the quarantine all arrive, in order. Change: the item on a success carries its age in AgeMs (0 from members of an older build, as before, which ignore it). News of an earlier success don't replace a later one. Why it works: all members compare the same instant of success with the first death, within the time of a message and the rounding to a millisecond, however late the lift was found. TestReportedSuccessIsNotNew fails before ("quarantined true and false") and passes after; TestOldNewsKeepLaterSuccess passes before and fails without the guard in record. Left: the time of a message is still part of the instant, so news under way for longer than from the success to the lift can come after a death as before.

--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -159,10 +159,15 @@
 	return report{item: i, delivered: make(chan struct{})}
 }
 
-// clear removes a suspect that has succeeded, and reports that to the other members; the lock must be held.
+// clear removes a suspect whose success is recorded, and reports that to the other members with the age of the success,
+// since one that they took for new would also clear deaths after it; the lock must be held.
 func (t *Table) clear(f Fingerprint) {
 	delete(t.suspects, f)
-	t.reports.Replace(newReport(&wire.QuarantineItem{Fingerprint: uint64(f)}))
+	i := &wire.QuarantineItem{Fingerprint: uint64(f)}
+	if at, ok := t.successes.last(f); ok {
+		i.AgeMs = t.clock.Now().Sub(at).Milliseconds()
+	}
+	t.reports.Replace(newReport(i))
 }
 
 // Apply records what another member observed.
@@ -171,15 +176,15 @@
 	defer t.mu.Unlock()
 	for _, i := range m.GetItems() {
 		f := Fingerprint(i.GetFingerprint())
-		began := t.clock.Now().Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
+		at := t.clock.Now().Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
 		switch {
 		case i.GetQuarantinedMs() > 0:
 			t.applyQuarantine(f, i)
 		case i.GetUpstream() == "":
 			delete(t.suspects, f)
-			t.successes.record(f, t.clock.Now())
+			t.successes.record(f, at)
 		default:
-			t.recordDeath(f, ident.Upstream(i.GetUpstream()), began)
+			t.recordDeath(f, ident.Upstream(i.GetUpstream()), at)
 		}
 	}
 }
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -107,6 +107,45 @@
 	})
 }
 
+// TestReportedSuccessIsNotNew checks that news of a success, learnt late, don't lift a quarantine for deaths after it.
+func TestReportedSuccessIsNotNew(t *testing.T) {
+	c := clock.NewFake()
+	counts, succeeds, late := New(c, 2), New(c, 2), New(c, 2)
+	next := func(b *Table) *wire.QuarantineNews { return newMessage(b.collectReports(<-b.reports.Out())) }
+	crash(counts, c, "x")
+	c.Advance(time.Millisecond)
+	succeeds.Begin(1, "z")
+	succeeds.End(1, "z", done)
+	crash(counts, c, "y")
+	succeeds.Apply(next(counts))
+	lift := next(succeeds)
+	counts.Apply(lift)
+	crash(counts, c, "x")
+	late.Apply(lift)
+	crash(counts, c, "y")
+	late.Apply(next(counts))
+	if !counts.Quarantined(1) || !late.Quarantined(1) {
+		t.Errorf("quarantined %t and %t after two deaths since the success, want both", counts.Quarantined(1),
+			late.Quarantined(1))
+	}
+}
+
+// TestOldNewsKeepLaterSuccess checks that news of an earlier success don't replace a later one.
+func TestOldNewsKeepLaterSuccess(t *testing.T) {
+	c := clock.NewFake()
+	b := New(c, 2)
+	b.Begin(1, "z")
+	b.End(1, "z", done)
+	c.Advance(time.Second)
+	b.Apply(&wire.QuarantineNews{Items: []*wire.QuarantineItem{
+		{Fingerprint: 1, AgeMs: 3000},
+		{Fingerprint: 1, AgeMs: 2000, QuarantinedMs: 1000, Quarantines: 1},
+	}})
+	if b.Quarantined(1) {
+		t.Error("quarantined for deaths before a success, want not quarantined")
+	}
+}
+
 // TestQuarantine covers the sequences of crashes that users have encountered.
 func TestQuarantine(t *testing.T) {
 	rows := []struct {
--- a/request/quarantine/successes.go
+++ b/request/quarantine/successes.go
@@ -15,18 +15,28 @@
 	return successes{newer: map[Fingerprint]clock.Instant{}, older: map[Fingerprint]clock.Instant{}}
 }
 
-func (s *successes) record(f Fingerprint, now clock.Instant) {
+// record remembers a success at the given instant, unless a later one of the request is known.
+func (s *successes) record(f Fingerprint, at clock.Instant) {
+	if s.since(f, at) {
+		return
+	}
 	if len(s.newer) >= maxSuccesses {
 		s.older, s.newer = s.newer, map[Fingerprint]clock.Instant{}
 	}
-	s.newer[f] = now
+	s.newer[f] = at
+}
+
+// last returns when the request is known to have succeeded last, or false if no success is known.
+func (s *successes) last(f Fingerprint) (clock.Instant, bool) {
+	if at, ok := s.newer[f]; ok {
+		return at, true
+	}
+	at, ok := s.older[f]
+	return at, ok
 }
 
 // since reports whether the request is known to have succeeded at the given instant or later.
 func (s *successes) since(f Fingerprint, t clock.Instant) bool {
-	at, ok := s.newer[f]
-	if !ok {
-		at, ok = s.older[f]
-	}
+	at, ok := s.last(f)
 	return ok && at >= t
 }
