--- a/bench/command/soak.go
+++ b/bench/command/soak.go
@@ -24,6 +24,9 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "first `SEED` of faults and requests")
 	f.DurationVar(&o.For, "for", 20*time.Second, "`TIME` in which faults are injected")
 	f.BoolVar(&o.Rollouts, "rollouts", false, "order roll-outs of good and bad versions")
+	f.BoolVar(&o.Planned, "planned", false, "inject only signals, changes of the configuration and targets that drain")
+	f.StringVar(&o.Fault, "fault", "", "inject only faults of this `KIND`")
+	f.Float64Var(&o.Cores, "cores", 1, "`NUMBER` of processors of each VM in its settings")
 	f.BoolVar(&o.Verbose, "verbose", false, "print each fault")
 	return &ffcli.Command{
 		Name:       "soak",
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -23,6 +23,8 @@
 	// id is the request ID that the answer carries.
 	id   string
 	body string
+	// want is the body of a complete answer of a target.
+	want string
 	// sentAt is when the request was sent.
 	sentAt time.Time
 }
@@ -53,7 +55,7 @@
 
 // send sends one request to a VM and reads the whole answer.
 func (s *soak) send(ctx context.Context, c *http.Client, v *vm, method, path, id string) answer {
-	a := answer{sentAt: time.Now()}
+	a := answer{sentAt: time.Now(), want: id + " 0"}
 	u := "http://" + string(v.settings.CallerAddress) + path
 	q, err := http.NewRequestWithContext(ctx, method, u, strings.NewReader(""))
 	if err != nil {
@@ -94,7 +96,7 @@
 	if len(runs) > 0 && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) {
 		s.addViolation(fmt.Sprintf("request %s was refused with %d and ran at %s", id, a.status, runs[0].Target))
 	}
-	if a.status == http.StatusOK && (a.id != id || a.body != id+" 0") {
+	if a.status == http.StatusOK && (a.id != id || a.body != a.want) {
 		s.addViolation(fmt.Sprintf("request %s got the answer %q to request %q", id, a.body, a.id))
 	}
 	if a.status == http.StatusNotFound {
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,50 +20,124 @@
 	name string
 	// disturbsStore means that the store, or the connection of a VM to it, is faulty while the fault lasts.
 	disturbsStore bool
-	run           func(s *soak, r *rand.Rand) error
+	// planned means that the fault is planned work, around which no request may be lost.
+	planned bool
+	run     func(s *soak, r *rand.Rand) error
 }
 
 // faults lists all kinds of faults.
 var faults = []fault{
-	{"kill", false, func(s *soak, r *rand.Rand) error { return s.anyVM(r).killAndRestart(randomDuration(r, 200, 1500)) }},
-	{"stop", false, func(s *soak, r *rand.Rand) error { return s.anyVM(r).stopAndRestart() }},
-	{"freeze", false, func(s *soak, r *rand.Rand) error { s.anyVM(r).freeze(randomDuration(r, 300, 2500)); return nil }},
-	{"reload", false, func(s *soak, r *rand.Rand) error { s.anyVM(r).signal(syscall.SIGHUP); return nil }},
-	{"store disconnected", true, disconnectStore},
-	{"store slow", true, func(s *soak, r *rand.Rand) error {
+	{"kill", false, false, func(s *soak, r *rand.Rand) error {
+		return s.anyVM(r).killAndRestart(randomDuration(r, 200, 1500))
+	}},
+	{"stop", false, true, func(s *soak, r *rand.Rand) error { return s.anyVM(r).stopAndRestart(nil) }},
+	{"freeze", false, false, func(s *soak, r *rand.Rand) error {
+		s.anyVM(r).freeze(randomDuration(r, 300, 2500))
+		return nil
+	}},
+	{"reload", false, true, func(s *soak, r *rand.Rand) error { s.anyVM(r).signal(syscall.SIGHUP); return nil }},
+	{"store disconnected", true, false, disconnectStore},
+	{"store slow", true, false, func(s *soak, r *rand.Rand) error {
 		return degradeStore(s, r, relay.Fault{Delay: 150 * time.Millisecond})
 	}},
-	{"store answers lost", true, func(s *soak, r *rand.Rand) error {
+	{"store answers lost", true, false, func(s *soak, r *rand.Rand) error {
 		return degradeStore(s, r, relay.Fault{Loss: 0.3})
 	}},
-	{"store refuses calls", true, func(s *soak, r *rand.Rand) error {
+	{"store refuses calls", true, false, func(s *soak, r *rand.Rand) error {
 		return s.withStoreFault(r, objects.Faults{Status: http.StatusServiceUnavailable})
 	}},
-	{"store does not answer", true, func(s *soak, r *rand.Rand) error {
+	{"store does not answer", true, false, func(s *soak, r *rand.Rand) error {
 		return s.withStoreFault(r, objects.Faults{Silent: true})
 	}},
-	{"store history lost", true, func(s *soak, _ *rand.Rand) error { s.store.Compact(); return nil }},
-	{"store restored from a copy", true, restoreStore},
-	{"target crashes", false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, false) }},
-	{"target drains", false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, true) }},
-	{"target answers lost", false, func(s *soak, r *rand.Rand) error {
+	{"store history lost", true, false, func(s *soak, _ *rand.Rand) error { s.store.Compact(); return nil }},
+	{"store restored from a copy", true, false, restoreStore},
+	{"target crashes", false, false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, false) }},
+	{"target drains", false, true, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, true) }},
+	{"target answers lost", false, false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.LoseAnswers.Store(on) })
 	}},
-	{"target asks for pauses", false, func(s *soak, r *rand.Rand) error {
+	{"target asks for pauses", false, false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.AskForPause(map[bool]string{true: "0.7"}[on]) })
 	}},
-	{"target names a limit", false, func(s *soak, r *rand.Rand) error {
+	{"target names a limit", false, false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.NameLimit(map[bool]string{true: "2"}[on], true) })
 	}},
-	{"target answers without end", false, func(s *soak, r *rand.Rand) error {
+	{"target answers without end", false, false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) {
 			t.SendEndless(map[bool]target.Endless{true: target.EndlessSlowBody}[on])
 		})
 	}},
-	{"target requests fail", false, func(s *soak, r *rand.Rand) error {
+	{"target requests fail", false, false, func(s *soak, r *rand.Rand) error {
 		return s.withTargetFault(r, func(t *target.Target, on bool) { t.Fail.Store(on) })
 	}},
-	{"configuration", false, func(s *soak, _ *rand.Rand) error { return s.moveRoute() }},
+	{"configuration", false, true, func(s *soak, _ *rand.Rand) error { return s.moveRoute() }},
+	{"limits", false, true, changeLimitsOften},
+	{"reloads", false, true, func(s *soak, r *rand.Rand) error { s.anyVM(r).reloadOften(r); return nil }},
+	{"reloads at start", false, true, reloadAtStart},
+	{"stop and signals", false, true, stopWithSignals},
+	{"stop and limits", false, true, stopWithLimits},
+	{"two stops", false, true, stopTwo},
+	{"no more files", false, false, func(s *soak, r *rand.Rand) error {
+		return s.anyVM(r).limitFiles(r.IntN(4), randomDuration(r, 200, 1500))
+	}},
+}
+
+// reloadOften sends a series of SIGHUP.
+func (v *vm) reloadOften(r *rand.Rand) {
+	for range 2 + r.IntN(8) {
+		v.signal(syscall.SIGHUP)
+		time.Sleep(randomDuration(r, 0, 60))
+	}
+}
+
+// changeLimitsOften changes the limits of callers' connections several times.
+func changeLimitsOften(s *soak, r *rand.Rand) error {
+	for range 1 + r.IntN(5) {
+		if err := s.changeLimits(r); err != nil {
+			return err
+		}
+		time.Sleep(randomDuration(r, 0, 500))
+	}
+	return nil
+}
+
+// reloadAtStart stops a VM and sends a series of SIGHUP from the start of its new process on.
+func reloadAtStart(s *soak, r *rand.Rand) error {
+	v := s.anyVM(r)
+	if err := v.stopAndRestart(nil); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+	v.reloadOften(r)
+	return nil
+}
+
+// stopWithSignals sends further SIGHUP and SIGTERM while a VM stops.
+func stopWithSignals(s *soak, r *rand.Rand) error {
+	v := s.anyVM(r)
+	return v.stopAndRestart(func() {
+		for range 1 + r.IntN(6) {
+			time.Sleep(randomDuration(r, 0, 700))
+			v.signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[r.IntN(2)])
+		}
+	})
+}
+
+// stopWithLimits changes the limits of callers' connections while a VM stops.
+func stopWithLimits(s *soak, r *rand.Rand) error {
+	var err error
+	stop := s.anyVM(r).stopAndRestart(func() { err = changeLimitsOften(s, r) })
+	return errors.Join(stop, err)
+}
+
+// stopTwo stops two VMs, the second one while the first is stopping.
+func stopTwo(s *soak, r *rand.Rand) error {
+	first, second := s.anyVM(r), s.anyVM(r)
+	done := make(chan error)
+	go func() { done <- first.stopAndRestart(nil) }()
+	time.Sleep(randomDuration(r, 0, 3500))
+	err := second.stopAndRestart(nil)
+	return errors.Join(err, <-done)
 }
 
 // randomDuration returns a random duration between two numbers of milliseconds.
@@ -130,8 +205,11 @@
 // concurrently, so that faults overlap.
 func (s *soak) injectFaults(ctx context.Context, r *rand.Rand, until time.Time) {
 	for time.Now().Before(until) && ctx.Err() == nil {
-		time.Sleep(randomDuration(r, 100, 1200))
 		f := &faults[r.IntN(len(faults))]
+		if s.options.Planned && !f.planned || s.options.Fault != "" && s.options.Fault != f.name {
+			continue
+		}
+		time.Sleep(randomDuration(r, 100, 1200))
 		s.logf("%s begins", f.name)
 		if f.disturbsStore {
 			s.beginStoreFault()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,6 +53,12 @@
 	For time.Duration
 	// Rollouts makes the run order roll-outs of good and bad versions.
 	Rollouts bool
+	// Planned limits the faults to planned work: signals, changes of the configuration and targets that drain.
+	Planned bool
+	// Fault, if not empty, is the only kind of fault that is injected.
+	Fault string
+	// Cores is the number of processors of each VM in its settings.
+	Cores float64
 	// Verbose prints the begin and the end of each fault.
 	Verbose bool
 }
@@ -85,6 +92,7 @@
 	routeMovedAt time.Time
 	routeService ident.Service
 	version      ident.Version
+	limits       callerLimits
 	// lastTarget is the number of the target that was started last.
 	lastTarget int
 	// storeFaults counts the active faults of the store, and storeFaultEnd is when the last one ended.
@@ -135,7 +143,7 @@
 		}
 	}
 	for i := range s.options.VMs {
-		v, err := newVM(s.options, i, store)
+		v, err := newVM(s.options, i, store, s.addViolation)
 		if v != nil {
 			s.vms = append(s.vms, v)
 		}
@@ -154,6 +162,7 @@
 	var callers, loops sync.WaitGroup
 	for i := range s.options.Callers {
 		callers.Go(func() { s.runCaller(ctx, i) })
+		callers.Go(func() { s.runRawCaller(ctx, i) })
 	}
 	until := time.Now().Add(s.options.For)
 	for i := range faultWorkers {
@@ -169,6 +178,9 @@
 	s.checkServed()
 	cancel()
 	callers.Wait()
+	for _, v := range s.vms {
+		s.checkLog(v)
+	}
 }
 
 // checkServed checks that each VM answers at least 9 of 10 requests after the faults.
@@ -278,6 +290,25 @@
 	return nil
 }
 
+// callerLimits are the limits of callers' connections, in milliseconds; zero means the default.
+type callerLimits struct {
+	header, idle int
+}
+
+// writeTo replaces the limits in an encoded configuration, which has none.
+func (l callerLimits) writeTo(text string) string {
+	const format = `"header-timeout-ms":%d,"idle-timeout-ms":%d`
+	return strings.Replace(text, fmt.Sprintf(format, 0, 0), fmt.Sprintf(format, l.header, l.idle), 1)
+}
+
+// changeLimits writes a new version of the configuration with other limits of callers' connections.
+func (s *soak) changeLimits(r *rand.Rand) error {
+	s.mu.Lock()
+	s.limits = callerLimits{header: 1000 + r.IntN(4000), idle: 1000 + r.IntN(4000)}
+	s.mu.Unlock()
+	return s.moveRoute()
+}
+
 // moveRoute writes a new version of the configuration in which the route "move" goes to the other service.
 func (s *soak) moveRoute() error {
 	s.mu.Lock()
@@ -286,17 +317,20 @@
 	to := services[int(s.version)%len(services)]
 	one := func(n ident.Service) []route.WeightedService { return []route.WeightedService{{Service: n, Weight: 1}} }
 	base := route.Route{Host: host, Timeout: 2 * time.Second, LatencyObjective: 500 * time.Millisecond, MaxAttempts: 2}
-	read, claim, move := base, base, base
+	read, claim, move, statement, report := base, base, base, base, base
 	read.Name, read.Prefix, read.Idempotent, read.Services = "read", "/read/", true, one(services[0])
 	claim.Name, claim.Prefix, claim.Services = "claim", "/claim/", one(services[1])
 	move.Name, move.Prefix, move.Idempotent, move.Services = "move", "/move/", true, one(to)
+	statement.Name, statement.Prefix, statement.Idempotent = "statement", "/statement/", true
+	statement.Services, statement.Timeout = one(services[0]), 1200*time.Millisecond
+	report.Name, report.Prefix, report.Idempotent, report.Services = "report", "/report/", true, one(services[1])
 	text, err := platform.EncodeConfiguration(s.version,
 		[]route.Service{{Name: services[0], HealthPath: "/health"}, {Name: services[1], HealthPath: "/health"}},
-		[]route.Route{read, claim, move})
+		[]route.Route{read, claim, move, statement, report})
 	if err != nil {
 		return err
 	}
-	s.store.Put(platform.ConfigurationKind, platform.ConfigurationName, text)
+	s.store.Put(platform.ConfigurationKind, platform.ConfigurationName, s.limits.writeTo(text))
 	s.routeMovedAt, s.routeService = time.Now(), to
 	return nil
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -21,14 +21,16 @@
 		// cause is why the seed failed before.
 		cause    string
 		rollouts bool
+		planned  bool
 	}{
-		{1, "none, fixed seed for CI", false},
-		{2, "none, fixed seed for CI with roll-outs", true},
+		{1, "none, fixed seed for CI", false, false},
+		{2, "none, fixed seed for CI with roll-outs", true, false},
+		{3, "none, fixed seed for CI with planned work", false, true},
 	}
 	for _, r := range rows {
 		result, err := Run(context.Background(), &Options{
 			Binaries: binaries, Work: t.TempDir(), Network: 250, VMs: 3, Callers: 6, Seed: r.seed, For: 8 * time.Second,
-			Rollouts: r.rollouts,
+			Rollouts: r.rollouts, Planned: r.planned,
 		}, t.Output())
 		if err != nil {
 			t.Fatal(err)
--- a/bench/soak/vm.go
+++ b/bench/soak/vm.go
@@ -7,10 +7,13 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/amaranthramp/amaranthramp/bench/relay"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/platform"
@@ -43,11 +46,27 @@
 	exited  chan struct{}
 	// stopStart is when the graceful stop in progress began, or zero.
 	stopStart time.Time
-	// faultEnd is when the process was last killed or resumed.
-	faultEnd time.Time
+	// faultEnd is when the process was last killed or resumed, and disturbed is true while a kill or a suspension lasts.
+	faultEnd  time.Time
+	disturbed bool
+	// signals are the signals sent to all processes, of which the current one got those from firstSignal on.
+	signals     []sentSignal
+	firstSignal int
+	// closing is true once the run ends the process.
+	closing bool
+	// report records a violation.
+	report func(string)
+	// logStart is where the log of this run begins.
+	logStart int64
+}
+
+// sentSignal is a signal that was sent to a process.
+type sentSignal struct {
+	signal syscall.Signal
+	at     time.Time
 }
 
-func newVM(o *Options, i int, store ident.Address) (*vm, error) {
+func newVM(o *Options, i int, store ident.Address, report func(string)) (*vm, error) {
 	ip := fmt.Sprintf("127.7.%d.%d", o.Network, i+1)
 	at := func(port int) ident.Address { return ident.Address(ip + ":" + strconv.Itoa(port)) }
 	r, err := relay.New(at(storePort), store, o.Seed)
@@ -56,12 +75,12 @@
 	}
 	v := &vm{
 		binary: filepath.Join(o.Binaries, "amaranthramp-gateway"), dir: filepath.Join(o.Work, fmt.Sprintf("vm-%d", i)),
-		storeRelay: r,
+		storeRelay: r, report: report,
 		settings: &gateway.Settings{
 			Name: ident.VM(fmt.Sprintf("vm-%d", i)), DataCentre: dataCentre(i), CallerAddress: at(callerPort),
 			ReadyAddress: at(readyPort), PeerAddress: at(peerPort), StoreAddress: at(storePort), Grace: stopGrace,
 			Retry:        gateway.RetryBound{Share: 0.2, Slack: 56, Window: 10 * time.Second},
-			WarmupFactor: 1.5, WarmupSlack: 5, ProbeRate: 60, Cores: 1, LinkMbps: 1000,
+			WarmupFactor: 1.5, WarmupSlack: 5, ProbeRate: 60, Cores: max(o.Cores, 1), LinkMbps: 1000,
 		},
 	}
 	if o.Rollouts {
@@ -77,6 +96,9 @@
 	if err := os.WriteFile(filepath.Join(v.dir, "settings.toml"), b, 0o644); err != nil {
 		return nil, fmt.Errorf("write the settings of a VM: %w", err)
 	}
+	if i, err := os.Stat(filepath.Join(v.dir, "log")); err == nil {
+		v.logStart = i.Size()
+	}
 	return v, v.start()
 }
 
@@ -98,15 +120,87 @@
 		return fmt.Errorf("start a VM: %w", err)
 	}
 	exited := make(chan struct{})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.process, v.exited, v.stopStart, v.firstSignal = c, exited, time.Time{}, len(v.signals)
 	go func() {
-		// The exit status doesn't matter, since faults end processes by signals.
-		_ = c.Wait()
+		err := c.Wait()
+		own := v.checkExit(err)
 		close(exited)
+		if own {
+			v.restart(c)
+		}
 	}()
+	return nil
+}
+
+// checkExit checks that a process did not end by itself, nor with an error after SIGTERM. That signal may end a process
+// that has just started. The result is whether it ended by itself.
+func (v *vm) checkExit(err error) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.process, v.exited, v.stopStart = c, exited, time.Time{}
-	return nil
+	stopped := false
+	for _, s := range v.signals[v.firstSignal:] {
+		if s.signal == syscall.SIGKILL {
+			return false
+		}
+		stopped = stopped || s.signal == syscall.SIGTERM
+	}
+	if !stopped || err != nil && err.Error() != "signal: terminated" {
+		v.report(fmt.Sprintf("exit: %s ended by itself: %v; %s", v.settings.Name, err, v.listSignals(time.Now())))
+	}
+	return !stopped && !v.closing
+}
+
+// restart starts a process in place of one that has ended by itself, unless a fault has done so.
+func (v *vm) restart(ended *exec.Cmd) {
+	v.lifecycle.Lock()
+	defer v.lifecycle.Unlock()
+	v.mu.Lock()
+	needed := v.process == ended && !v.closing
+	v.mu.Unlock()
+	if !needed {
+		return
+	}
+	if err := v.start(); err != nil {
+		v.report(fmt.Sprintf("restart of %s: %v", v.settings.Name, err))
+	}
+}
+
+// listedSignals is how many of the last signals a violation lists.
+const listedSignals = 4
+
+// signalsBefore tells how long before a time the signals were sent to the process.
+func (v *vm) signalsBefore(at time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listSignals(at)
+}
+
+// listSignals does the same as signalsBefore; v.mu is held.
+func (v *vm) listSignals(at time.Time) string {
+	if len(v.signals) == 0 {
+		return "no signal"
+	}
+	var l []string
+	for _, s := range v.signals[max(len(v.signals)-listedSignals, 0):] {
+		l = append(l, fmt.Sprintf("%s %.3f s before", unix.SignalName(s.signal), at.Sub(s.at).Seconds()))
+	}
+	return strings.Join(l, ", ")
+}
+
+// stopping returns when the graceful stop in progress began, or zero.
+func (v *vm) stopping() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stopStart
+}
+
+// disturbedSince reports whether the process was killed or suspended at or after a time.
+func (v *vm) disturbedSince(t time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.disturbed || v.faultEnd.After(t)
 }
 
 // signal sends a signal to the process, unless it has exited.
@@ -116,6 +210,7 @@
 	select {
 	case <-v.exited:
 	default:
+		v.signals = append(v.signals, sentSignal{signal: s, at: time.Now()})
 		// The process may have exited in the meantime; then the signal fails.
 		_ = v.process.Process.Signal(s)
 	}
@@ -125,6 +220,7 @@
 func (v *vm) killAndRestart(pause time.Duration) error {
 	v.lifecycle.Lock()
 	defer v.lifecycle.Unlock()
+	v.recordFaultStart()
 	v.signal(syscall.SIGKILL)
 	<-v.exit()
 	v.recordFaultEnd()
@@ -132,18 +228,22 @@
 	return v.start()
 }
 
-// stopAndRestart stops the process gracefully and starts a new one. It fails when the stop takes more than a second
-// longer than stopGrace.
-func (v *vm) stopAndRestart() error {
+// stopAndRestart stops the process gracefully, calls during, if it is not nil, and starts a new process after the exit.
+// It fails when the stop takes more than a second longer than stopGrace.
+func (v *vm) stopAndRestart(during func()) error {
 	v.lifecycle.Lock()
 	defer v.lifecycle.Unlock()
 	v.mu.Lock()
-	v.stopStart = time.Now()
+	began := time.Now()
+	v.stopStart = began
 	v.mu.Unlock()
 	v.signal(syscall.SIGTERM)
+	if during != nil {
+		during()
+	}
 	select {
 	case <-v.exit():
-	case <-time.After(stopGrace + time.Second):
+	case <-time.After(time.Until(began.Add(stopGrace + time.Second))):
 		v.signal(syscall.SIGKILL)
 		<-v.exit()
 		return fmt.Errorf("%s did not exit within %s of SIGTERM", v.settings.Name, stopGrace+time.Second)
@@ -155,17 +255,25 @@
 func (v *vm) freeze(d time.Duration) {
 	v.lifecycle.Lock()
 	defer v.lifecycle.Unlock()
+	v.recordFaultStart()
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	v.signal(syscall.SIGCONT)
 	v.recordFaultEnd()
 }
 
+// recordFaultStart notes that a kill or a suspension of the process begins now.
+func (v *vm) recordFaultStart() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = true
+}
+
 // recordFaultEnd notes that a kill or a suspension of the process ended now.
 func (v *vm) recordFaultEnd() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.faultEnd = time.Now()
+	v.faultEnd, v.disturbed = time.Now(), false
 }
 
 // exit returns a channel that is closed when the process has exited.
@@ -188,8 +296,53 @@
 
 // close kills the process, which may be suspended, and closes the relay.
 func (v *vm) close() {
+	v.mu.Lock()
+	v.closing = true
+	v.mu.Unlock()
+	v.lifecycle.Lock()
+	defer v.lifecycle.Unlock()
 	v.signal(syscall.SIGCONT)
 	v.signal(syscall.SIGKILL)
 	<-v.exit()
 	v.storeRelay.Close()
 }
+
+// limitFiles lets the process open no more than a few further files and connections for a time.
+func (v *vm) limitFiles(further int, d time.Duration) error {
+	v.lifecycle.Lock()
+	defer v.lifecycle.Unlock()
+	v.mu.Lock()
+	pid := v.process.Process.Pid
+	v.mu.Unlock()
+	l, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return fmt.Errorf("list the open files of a VM: %w", err)
+	}
+	var old unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &old); err != nil {
+		return fmt.Errorf("read the limit of open files: %w", err)
+	}
+	low := old
+	low.Cur = uint64(len(l) + further)
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &low, nil); err != nil {
+		return fmt.Errorf("set the limit of open files: %w", err)
+	}
+	time.Sleep(d)
+	// The process may have ended by itself, which is a violation of its own.
+	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil)
+	return nil
+}
+
+// checkLog checks that the log of a VM has no panic and no data race.
+func (s *soak) checkLog(v *vm) {
+	b, err := os.ReadFile(filepath.Join(v.dir, "log"))
+	if err != nil {
+		s.addViolation(fmt.Sprintf("log of %s: %v", v.settings.Name, err))
+		return
+	}
+	for l := range strings.Lines(string(b[v.logStart:])) {
+		if strings.Contains(l, "panic") || strings.Contains(l, "DATA RACE") {
+			s.addViolation(fmt.Sprintf("log of %s: %s", v.settings.Name, strings.TrimSpace(l)))
+		}
+	}
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -266,7 +267,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	slower, fails := t.applyDefect(r.URL.Path)
-	sleep(r.Context(), time.Duration(slower*float64(t.work)))
+	work, size := t.orderedBy(r)
+	sleep(r.Context(), time.Duration(slower*float64(work)))
 	switch {
 	case fails:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -276,7 +278,25 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 	// An error means that the caller closed the connection; it gets no complete response then.
-	_, _ = io.WriteString(w, id+" "+strconv.Itoa(len(b)))
+	_, _ = io.WriteString(w, pad(id+" "+strconv.Itoa(len(b)), size))
+}
+
+// orderedBy returns how long the run of a request takes, and the least length of the body of its response. A request
+// may order both in its query, as work-ms and bytes.
+func (t *Target) orderedBy(r *http.Request) (work time.Duration, size int) {
+	q := r.URL.Query()
+	work = t.work
+	if n, err := strconv.Atoi(q.Get("work-ms")); err == nil {
+		work = time.Duration(n) * time.Millisecond
+	}
+	// A query without a size orders none.
+	size, _ = strconv.Atoi(q.Get("bytes"))
+	return work, size
+}
+
+// pad appends dots up to a length.
+func pad(s string, size int) string {
+	return s + strings.Repeat(".", max(size-len(s), 0))
 }
 
 // reject answers that the request has not run and that the target wants no more for a time.
