--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -17,6 +17,10 @@
 // callerTimeout is how long a caller waits for its answer.
 const callerTimeout = 2 * time.Second
 
+// brokenOffLimit is the time from which on a VM that stops may answer in place of a target that is sound: the shortest
+// time limit of a route.
+const brokenOffLimit = 1200 * time.Millisecond
+
 // answer is the answer to one request, or, with status 0, the failure to get one.
 type answer struct {
 	status int
@@ -102,6 +106,11 @@
 	if a.status == http.StatusNotFound {
 		s.addViolation(fmt.Sprintf("request %s to %s got 404", id, path))
 	}
+	if s.options.Planned && (a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout) &&
+		len(runs) > 0 && time.Since(a.sentAt) < brokenOffLimit && !v.stopping().IsZero() {
+		s.addViolation(fmt.Sprintf("request %s was broken off at %s and answered with %d by %s, %s", id, runs[0].Target,
+			a.status, v.settings.Name, v.signalsBefore(time.Now())))
+	}
 	s.checkStop(v, id, a, len(runs))
 	for _, r := range runs {
 		s.checkTarget(v, path, id, a, r.Target, r.At)
--- a/bench/soak/raw_callers.go
+++ b/bench/soak/raw_callers.go
@@ -214,7 +214,7 @@
 const ranCheckDelay = 100 * time.Millisecond
 
 // lossSlack is how long after a request was sent the VM may close its connection if it has not passed it on.
-const lossSlack = time.Second
+const lossSlack = 200 * time.Millisecond
 
 // checkEnd checks that no request was lost at the end of a connection: none that a target began to run, and none that
 // was the next one for longer than lossSlack. err is nil if the last answer announced the end.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -34,7 +34,7 @@
 // The targets and the fault injection of a run: slots per target, the time that a request takes at one, and how many
 // faults can overlap.
 const (
-	targetsPerService = 5
+	targetsPerService = 8
 	slots             = 3
 	workTime          = 10 * time.Millisecond
 	faultWorkers      = 2
--- a/bench/soak/vm.go
+++ b/bench/soak/vm.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -179,14 +180,16 @@
 
 // listSignals does the same as signalsBefore; v.mu is held.
 func (v *vm) listSignals(at time.Time) string {
-	if len(v.signals) == 0 {
-		return "no signal"
-	}
 	var l []string
-	for _, s := range v.signals[max(len(v.signals)-listedSignals, 0):] {
-		l = append(l, fmt.Sprintf("%s %.3f s before", unix.SignalName(s.signal), at.Sub(s.at).Seconds()))
+	for _, s := range v.signals {
+		if !s.at.After(at) {
+			l = append(l, fmt.Sprintf("%s %.3f s before", unix.SignalName(s.signal), at.Sub(s.at).Seconds()))
+		}
 	}
-	return strings.Join(l, ", ")
+	if len(l) == 0 {
+		return "no signal"
+	}
+	return strings.Join(l[max(len(l)-listedSignals, 0):], ", ")
 }
 
 // stopping returns when the graceful stop in progress began, or zero.
@@ -315,22 +318,20 @@
 	pid := v.process.Process.Pid
 	v.mu.Unlock()
 	l, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	if err != nil {
-		return fmt.Errorf("list the open files of a VM: %w", err)
-	}
 	var old unix.Rlimit
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &old); err != nil {
-		return fmt.Errorf("read the limit of open files: %w", err)
-	}
+	err = errors.Join(err, unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &old))
 	low := old
 	low.Cur = uint64(len(l) + further)
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &low, nil); err != nil {
-		return fmt.Errorf("set the limit of open files: %w", err)
+	if err == nil {
+		err = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &low, nil)
 	}
-	time.Sleep(d)
-	// The process may have ended by itself, which is a violation of its own.
-	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil)
-	return nil
+	select {
+	case <-v.exit():
+		// The process has ended by itself, which is a violation of its own.
+		return nil
+	case <-time.After(d):
+	}
+	return errors.Join(err, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil))
 }
 
 // checkLog checks that the log of a VM has no panic and no data race.
