A connection carries each request ID once, so that a repeated refusal isn't taken for a new one

What callers would see: 503, "not run, try again", for a request that a target had run (REFUSED), or a request that ran at a second target (TWICE); with a repeated 200, the body of an earlier request with the same ID (MIXED).

Cause: TargetClient matches answers by the ID that the target echoes. An ID that had been answered on a kept connection could be sent on it again: a caller that uses its ID again after a refusal, or a call that comes once more through another VM. A faulty target that then repeats the earlier answer is believed. Within one call, the relay doesn't choose a target twice.

Why the fix works: a connection keeps 4-byte hashes of the IDs that it has carried, and the pool doesn't offer it for one of them; it stays open for others. Two IDs with one hash cost another connection, never a wrong match. At 1,024 requests a connection is closed, which bounds the list to 4 KB and costs at most one new connection for 1,024 requests (TestCarriedBounded). TestPoolModel now also checks that GetFor never returns a connection that has carried the ID.

--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -136,6 +136,10 @@
 func (d *TargetClient) Do(ctx context.Context, n *pool.Conn, c *call.Call, check func() outcome.Reason) Result {
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.clock.Now()))
 	defer cancel()
+	if n != nil && n.Carried(c.ID) {
+		d.pool.Put(n)
+		n = nil
+	}
 	if n == nil {
 		var r outcome.Reason
 		if n, r = d.connect(ctx, c); r != "" {
@@ -181,14 +185,16 @@
 		ctx, cancel = context.WithTimeout(ctx, c.SendBy.Sub(d.clock.Now()))
 		defer cancel()
 	}
-	n, err := d.pool.Get(ctx, maxIdleFor(c))
+	n, err := d.pool.GetFor(ctx, maxIdleFor(c), c.ID)
 	if err != nil {
 		return nil, reasonOfGetError(ctx, err)
 	}
 	return n, ""
 }
 
+// roundTrip writes the call and reads its response. It reports whether the connection may be used again.
 func (d *TargetClient) roundTrip(n *pool.Conn, c *call.Call) (Result, bool) {
+	n.Carry(c.ID)
 	w := &countingWriter{w: n}
 	if _, err := w.Write(d.encodeRequest(c)); err != nil {
 		if w.n == 0 {
@@ -196,6 +202,11 @@
 		}
 		return broken(reasonOfIOError(err)), false
 	}
+	return d.readResponse(n, c)
+}
+
+// readResponse reads the response to the call, the only one on this connection with its ID.
+func (d *TargetClient) readResponse(n *pool.Conn, c *call.Call) (Result, bool) {
 	for i := 0; ; i++ {
 		n.SetReadLimit(maxHeaderBytes)
 		p, err := readHeader(n, c.Method)
--- a/connection/pool/conn.go
+++ b/connection/pool/conn.go
@@ -27,6 +27,7 @@
 	LastResponse clock.Instant
 
 	readLimit ident.Bytes
+	carried   carried
 }
 
 func newConn(n net.Conn, now clock.Instant) *Conn {
--- a/connection/pool/pool.go
+++ b/connection/pool/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,8 +66,17 @@
 // Get returns an idle connection that responded within the last maxIdle, or opens one. It fails with ErrFull at the
 // connection limit, with the error of the dial, or with the error of ctx if that ends while Get waits to dial.
 func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+	return p.get(ctx, maxIdle, func(*Conn) bool { return true })
+}
+
+// GetFor is like Get, but never returns a connection that has carried a request with the given ID.
+func (p *Pool) GetFor(ctx context.Context, maxIdle time.Duration, id ident.Request) (*Conn, error) {
+	return p.get(ctx, maxIdle, func(c *Conn) bool { return !c.Carried(id) })
+}
+
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration, fits func(*Conn) bool) (*Conn, error) {
 	for {
-		c, wait, err := p.takeOrReserve(maxIdle)
+		c, wait, err := p.takeOrReserve(maxIdle, fits)
 		if err != nil || c != nil {
 			return c, err
 		}
@@ -157,10 +167,10 @@
 
 // takeOrReserve returns an idle connection or a channel to wait on. If it returns neither and no error, it has counted
 // a new connection against the limits, and its caller must call dialReserved.
-func (p *Pool) takeOrReserve(maxIdle time.Duration) (*Conn, <-chan struct{}, error) {
+func (p *Pool) takeOrReserve(maxIdle time.Duration, fits func(*Conn) bool) (*Conn, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.takeIdle(min(maxIdle, p.maxIdle)); c != nil {
+	if c := p.takeIdle(min(maxIdle, p.maxIdle), fits); c != nil {
 		return c, nil, nil
 	}
 	if p.dialErr != nil && p.clock.Now().Sub(p.dialFailedAt) < dialBackoff {
@@ -184,17 +194,20 @@
 	return nil, nil, nil
 }
 
-// takeIdle returns the idle connection used last, so that the surplus ones stay idle and are closed. It returns nil if
-// none has responded within maxIdle.
-func (p *Pool) takeIdle(maxIdle time.Duration) *Conn {
+// takeIdle returns the fitting idle connection used last, so that the surplus ones stay idle and are closed. It returns
+// nil if none that fits has responded within maxIdle.
+func (p *Pool) takeIdle(maxIdle time.Duration, fits func(*Conn) bool) *Conn {
 	now := p.clock.Now()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
 		idleFor := now.Sub(c.LastResponse)
 		if idleFor > maxIdle && idleFor <= p.maxIdle {
 			return nil
 		}
-		p.idle = p.idle[:len(p.idle)-1]
+		if idleFor <= maxIdle && !fits(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if idleFor <= maxIdle && c.Usable() {
 			return c
 		}
@@ -223,8 +236,9 @@
 
 // putIdle adds a connection to the idle ones, in the order of the last responses.
 func (p *Pool) putIdle(c *Conn) {
-	if p.closed {
+	if p.closed || c.carried.exhausted() {
 		p.closeConn(c)
+		p.wakeWaiters()
 		return
 	}
 	i := len(p.idle)
--- a/connection/pool/pool_test.go
+++ b/connection/pool/pool_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
 
@@ -31,8 +34,17 @@
 	}
 }
 
+// getFor returns a connection for a request with the ID, or for a probe if the ID is empty.
+func getFor(p *Pool, maxIdle time.Duration, id ident.Request) (*Conn, error) {
+	if id == "" {
+		return p.Get(context.Background(), maxIdle)
+	}
+	return p.GetFor(context.Background(), maxIdle, id)
+}
+
 // TestPoolModel checks the pool against a model that counts connections: never more open than the limit, none leaked,
-// none handed out twice, and none handed out that was idle for longer than asked for.
+// none handed out twice, none handed out that was idle for longer than asked for, and none handed out for a request
+// whose ID it has carried.
 func TestPoolModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 4
@@ -41,6 +53,7 @@
 		f := clock.NewFake()
 		p := New("a", limit, maxIdle, dialFake(&open), f)
 		var taken []*Conn
+		carried := map[*Conn][]ident.Request{}
 		with := func(do func(*Conn)) {
 			if len(taken) == 0 {
 				return
@@ -53,7 +66,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"Get": func(t *rapid.T) {
 				asked := time.Duration(rapid.IntRange(0, 15).Draw(t, "asked")) * time.Second
-				c, err := p.Get(context.Background(), asked)
+				id := ident.Request(rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "id"))
+				c, err := getFor(p, asked, id)
 				if err != nil {
 					if !errors.Is(err, ErrFull) || len(taken) < limit {
 						t.Fatalf("Get: %v with %d of %d connections taken, want an error only at the limit", err, len(taken), limit)
@@ -68,6 +82,13 @@
 				if u := f.Now().Sub(c.LastResponse); u > min(asked, maxIdle) {
 					t.Fatalf("Get returned a connection idle for %s, want at most %s", u, min(asked, maxIdle))
 				}
+				if id != "" {
+					if slices.Contains(carried[c], id) {
+						t.Fatalf("GetFor returned a connection that has carried %s", id)
+					}
+					c.Carry(id)
+					carried[c] = append(carried[c], id)
+				}
 				c.Sent = f.Now()
 				taken = append(taken, c)
 			},
@@ -188,3 +209,32 @@
 		f.Advance(dialBackoff / 2)
 	}
 }
+
+// TestCarriedBounded guards against a connection whose list of carried requests grows without end, and against one that
+// is given up sooner than that needs.
+func TestCarriedBounded(t *testing.T) {
+	var open atomic.Int32
+	p := New("a", 4, time.Minute, dialFake(&open), clock.NewFake())
+	conns := map[*Conn]int{}
+	for i := range 3 * maxCarried {
+		c, err := p.GetFor(context.Background(), time.Minute, ident.Request(fmt.Sprint("r", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Carry(ident.Request(fmt.Sprint("r", i)))
+		conns[c]++
+		p.Put(c)
+	}
+	// Two IDs with the same hash take another connection.
+	if n := len(conns); n < 3 || n > 4 {
+		t.Errorf("%d connections for %d requests, want 3", n, 3*maxCarried)
+	}
+	for _, n := range conns {
+		if n > maxCarried {
+			t.Errorf("a connection carried %d requests, want at most %d", n, maxCarried)
+		}
+	}
+	if n := open.Load(); n > 2 {
+		t.Errorf("%d connections open, want at most 2", n)
+	}
+}
