A refusal counts only if it names exactly the ID of its request

What callers would see: 503, "not run, try again", for a request that a target runs (REFUSED).

Cause: the client read the first ID of a response only, so that a refusal with two IDs counted as one of the first. A call with an empty ID, which a malformed message between VMs may hold, matched each answer without an ID.

Evidence: TestUnprovenRefusals/two_IDs failed before ("event Refused, 1 connections kept, want broken and none"), and TestCallWithoutID for an answer without the header and with an empty one.

Why the fix works: all IDs of a response must be the one of the call, which must have one. Anything else is an answer to another request.

--- a/connection/exchange/repeated_test.go
+++ b/connection/exchange/repeated_test.go
@@ -209,6 +209,7 @@
 		{"ID with a control byte", unprovenRefusal("503 Full", notRun+"X-Request: r-1\x01\r\n")},
 		{"ID with another byte", unprovenRefusal("503 Full", notRun+"X-Request: r-1\x80\r\n")},
 		{"list of IDs", unprovenRefusal("503 Full", notRun+"X-Request: r-1, r-0\r\n")},
+		{"two IDs", unprovenRefusal("503 Full", notRun+"X-Request: r-1\r\nX-Request: r-0\r\n")},
 		{"folded ID", unprovenRefusal("503 Full", notRun+"X-Request: r-1\r\n 0\r\n")},
 		{"ID in a name with a space", unprovenRefusal("503 Full", notRun+"X-Request : r-1\r\n")},
 		{"ID in a trailer", "HTTP/1.1 503 Full\r\n" + notRun + "Trailer: X-Request\r\nTransfer-Encoding: chunked\r\n\r\n" +
@@ -229,6 +230,19 @@
 	}
 }
 
+// TestCallWithoutID guards against a call without an ID, as a malformed message between VMs may hold, for which any
+// answer without an ID counts.
+func TestCallWithoutID(t *testing.T) {
+	for _, fields := range []string{"", "X-Request:\r\n"} {
+		d, _ := listenTarget(t, func(*http.Request) string { return unprovenRefusal("503 Full", "X-Not-Run: 1\r\n"+fields) })
+		c := newTargetCall(false)
+		c.ID = ""
+		if x := d.Do(context.Background(), nil, c, allow); x.Event != (outcome.Broken{Reason: outcome.Expired}) {
+			t.Errorf("event %#v, want broken", x.Event)
+		}
+	}
+}
+
 // TestRepeatedAnswerOfMember guards against a forwarded request that ran and was reported as not run, because the
 // member repeated its refusal of an earlier send of the same ID.
 func TestRepeatedAnswerOfMember(t *testing.T) {
--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -223,7 +224,7 @@
 		if len(b) > call.MaxBody {
 			return broken(outcome.TooLarge), false
 		}
-		if p.Header.Get(d.headers.RequestID) == string(c.ID) {
+		if d.belongsTo(p, c.ID) {
 			// After one mismatched response there may be more of them, so the connection isn't used again.
 			return d.result(p, b), i == 0 && reusable(n, p)
 		}
@@ -234,6 +235,12 @@
 	}
 }
 
+// belongsTo reports whether a response names the request with the given ID and no other one.
+func (d *TargetClient) belongsTo(p *http.Response, id ident.Request) bool {
+	v := p.Header.Values(d.headers.RequestID)
+	return id != "" && len(v) > 0 && !slices.ContainsFunc(v, func(s string) bool { return s != string(id) })
+}
+
 // notice passes on the notice in a response, unless another target sent it.
 func (d *TargetClient) notice(p *http.Response, s Source) {
 	i := p.Header.Get(d.headers.Incarnation)
