A notice counts only in an answer to the request or probe that was sent

What callers would see: refusals, since a sound target gets no requests for up to an hour, or 503 from a target that gets more than it takes.

Cause: a pause, a limit and a leave were taken from each response header, also from one that repeats an earlier answer. A pause that was over began again, a limit that had been lifted held again, and in a probe a limit counted as one that probes name, so that the next probe without it ended it.

Evidence: TestRepeatedNotice failed before: a repeated refusal gave a notice with QuietFor:1m0s, Limit:1, once before the answer to a request and once in place of the answer to a probe; want none.

Why the fix works: a mismatched answer on a connection repeats one whose notice has been recorded, or is of unknown origin. Neither tells anything new. A leave is kept for the whole incarnation, so that its repetition isn't needed.

--- a/connection/exchange/repeated_test.go
+++ b/connection/exchange/repeated_test.go
@@ -279,6 +279,36 @@
 	}
 }
 
+// TestRepeatedNotice guards against a pause that begins again, and a limit that is in force again, because the target
+// repeated an earlier answer.
+func TestRepeatedNotice(t *testing.T) {
+	old := unprovenRefusal("503 Full", "X-Request: r-0\r\nX-Not-Run: 1\r\nX-Limit: 1\r\nRetry-After: 60\r\n")
+	h := *names
+	h.Limit = "X-Limit"
+	var got []Notice
+	for _, probes := range []bool{false, true} {
+		_, p := listenTarget(t, func(*http.Request) string { return old + completeResponse })
+		n, err := p.Get(context.Background(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := ident.Address(n.RemoteAddr().String())
+		got = nil
+		d := NewTargetClient("i-1", a, p, clock.New(), &h, NewBodyBudget(0), func(n Notice, _ error) { got = append(got, n) })
+		p.PutUnused(n)
+		want := 1
+		if probes {
+			_, _, _ = d.Probe(context.Background(), "/health")
+			want = 0
+		} else {
+			d.Do(context.Background(), nil, newTargetCall(false), allow)
+		}
+		if len(got) != want || want == 1 && (got[0].Limited || got[0].QuietFor > 0) {
+			t.Errorf("probe %t: notices %+v, want %d, without pause and limit", probes, got, want)
+		}
+	}
+}
+
 // TestCallWithoutID guards against a call without an ID, as a malformed message between VMs may hold, for which any
 // answer without an ID counts.
 func TestCallWithoutID(t *testing.T) {
--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -65,8 +65,8 @@
 }
 
 // NewTargetClient returns a client for the incarnation of a target to which the pool connects. The bodies that it reads
-// share the budget b with others. It calls notify with the notice in each response header that it reads, also if the
-// response belongs to another request.
+// share the budget b with others. It calls notify with the notice in each response header that it reads, unless the
+// response belongs to another request, since such a response repeats an earlier one.
 func NewTargetClient(
 	t ident.Target, a ident.Address, p *pool.Pool, c clock.Clock, h *Headers, b *BodyBudget, notify func(Notice, error),
 ) *TargetClient {
@@ -110,10 +110,10 @@
 		return Report{}, false, fmt.Errorf("read: %w", err)
 	}
 	defer func() { _ = p.Body.Close() }()
-	d.notice(p, fromProbe)
 	if p.Header.Get(d.headers.RequestID) != "" {
 		return Report{}, false, errWrongRequest
 	}
+	d.notice(p, fromProbe)
 	if _, err := io.Copy(io.Discard, io.LimitReader(p.Body, int64(maxHeaderBytes))); err != nil {
 		return Report{}, false, fmt.Errorf("read: %w", err)
 	}
@@ -215,9 +215,10 @@
 		if err != nil {
 			return broken(reasonOfIOError(err)), false
 		}
-		d.notice(p, d.sourceOf(p))
 		own := d.belongsTo(p, c.ID)
-		if !own && (i == maxMismatched || !skippable(n, p)) {
+		if own {
+			d.notice(p, d.sourceOf(p))
+		} else if i == maxMismatched || !skippable(n, p) {
 			return broken(outcome.Crossed), false
 		}
 		n.SetReadLimit(maxBodyBytes)
