A target's 408, 429 or 503 that doesn't say "not run" isn't passed on for a request that must not run twice

What callers saw: 503, 429 or 408, which promise that the request has not run, for one that a target had run (REFUSED); a caller that trusts the promise sends it again, and it runs twice.

Cause: each answer without the header of a refusal, but 421, counted as completed and passed on with its status.

Why the fix works: on a route that isn't safe the relay takes such an answer as a broken one: unknown, 502 of its own with the reason unproven, without the target's seal and body, and no retry. Safe requests may run more than once; for them the target's answer passes unchanged.

--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -44,6 +44,9 @@
 	Truncated Reason = "truncated"
 	// Crossed means that the response belongs to another request.
 	Crossed Reason = "crossed"
+	// Unproven means that the upstream gave its response a status that promises that the request did not run, without
+	// stating that.
+	Unproven Reason = "unproven"
 	// TooLarge means that the request or the response is too large.
 	TooLarge Reason = "too-large"
 	// OwnerGone means that the member that owned the request's shard has left the membership. No process reports it at
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -384,6 +384,9 @@
 			return s.withOverallOutcome(a), false
 		}
 	}
+	if !s.call.Idempotent && promisesNotRun(x) {
+		x = exchange.Result{Event: outcome.Broken{Reason: outcome.Unproven}}
+	}
 	a := responseOf(x)
 	d := s.history.Decide(x.Event, s.call.Idempotent)
 	a.SetOutcome(d.Outcome)
@@ -402,6 +405,20 @@
 	return a, d.Retry && !isExpiredOrCancelled(x.Event)
 }
 
+// promisesNotRun reports whether the status of a response promises callers that the request has not run, though the
+// target does not state that.
+func promisesNotRun(x exchange.Result) bool {
+	if _, ok := x.Event.(outcome.Completed); !ok {
+		return false
+	}
+	switch x.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // isExpiredOrCancelled reports whether an attempt ended because the deadline passed or the caller cancelled the
 // request.
 func isExpiredOrCancelled(e outcome.Event) bool {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -60,6 +60,10 @@
 	disconnects behaviour = "disconnects"
 	// losesResponse runs the request and never responds. Its load report shows no running requests.
 	losesResponse behaviour = "losesResponse"
+	// ran503, ran429 and ran408 run the request and respond with that status, without saying that it did not run.
+	ran503 behaviour = "503 Oh"
+	ran429 behaviour = "429 Oh"
+	ran408 behaviour = "408 Oh"
 	// slow responds successfully, but takes much longer than estimated.
 	slow behaviour = "slow"
 )
@@ -152,7 +156,7 @@
 			_, _ = n.Write([]byte("HTTP/1.1 200 OK\r\n" + f.limitField() + "X-Load: 0,0,2,100\r\nContent-Length: 0\r\n\r\n"))
 			continue
 		}
-		switch f.nextBehaviour() {
+		switch b := f.nextBehaviour(); b {
 		case slow:
 			time.Sleep(slowDelay)
 			fallthrough
@@ -161,6 +165,9 @@
 				"\r\nContent-Length: 2\r\n\r\nok"))
 		case fails:
 			_, _ = n.Write([]byte("HTTP/1.1 500 Oh\r\nX-Request: " + id + "\r\nContent-Length: 2\r\n\r\nno"))
+		case ran503, ran429, ran408:
+			_, _ = n.Write([]byte("HTTP/1.1 " + string(b) + "\r\nX-Request: " + id +
+				"\r\nX-Seal: 1\r\nRetry-After: 0\r\nContent-Length: 2\r\n\r\nno"))
 		case sheds:
 			_, _ = n.Write([]byte("HTTP/1.1 503 Full\r\nX-Request: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 		case pauses:
@@ -292,15 +299,40 @@
 	}
 }
 
+// TestRunAnsweredAsRefused guards against a request that must not run twice and was answered as not run, because the
+// target gave the answer to its run a status that promises that.
+func TestRunAnsweredAsRefused(t *testing.T) {
+	for b, own := range map[behaviour]int{ran503: 503, ran429: 429, ran408: 408} {
+		for _, idempotent := range []bool{false, true} {
+			f := &stubTargets{script: []behaviour{b}}
+			y, _, end := newRelay(t, f, 5)
+			n, o := table(idempotent, 1)
+			a := y.Do(context.Background(), n, o, newCall())
+			end()
+			want, seal, result := 502, "", outcome.Unknown
+			if idempotent {
+				want, seal, result = own, "1", outcome.Done
+			}
+			if a.Status != want || a.Header.Get("X-Seal") != seal || a.Outcome != result || (len(a.Body) > 0) != idempotent {
+				t.Errorf("idempotent %t, target's status %d: status %d, header %v, body %q, %s; want %d, seal %q, %s", idempotent,
+					own, a.Status, a.Header, a.Body, a.Outcome, want, seal, result)
+			}
+		}
+	}
+}
+
 // TestRelayRandomBehaviours checks, for random behaviours of targets, what callers rely on: a non-idempotent request
 // runs at most once, a refused request has not run, and a request is not sent more often than its route allows.
 func TestRelayRandomBehaviours(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := []behaviour{succeeds, fails, sheds, disconnects}
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		if !idempotent {
+			all = append(all, ran503, ran429, ran408)
+		}
 		f := &stubTargets{script: rapid.SliceOfN(rapid.SampledFrom(all), 0, 4).Draw(t, "script")}
 		y, _, end := newRelay(t, f, 5)
 		defer end()
-		idempotent := rapid.Bool().Draw(t, "idempotent")
 		attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
 		n, o := table(idempotent, attempts)
 		a := y.Do(context.Background(), n, o, newCall())
@@ -308,7 +340,8 @@
 		if !idempotent && runs > 1 {
 			t.Fatalf("non-idempotent request ran %d times, want at most once", runs)
 		}
-		if (a.Outcome == outcome.NotRun || a.Status == 503) && runs > 0 {
+		promised := a.Status == 503 || a.Status == 429 || a.Status == 408
+		if (a.Outcome == outcome.NotRun || promised) && runs > 0 {
 			t.Fatalf("outcome %s with status %d after %d runs, want no run", a.Outcome, a.Status, runs)
 		}
 		if sends > attempts {
