--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -87,10 +87,10 @@
 	return nil, errNoFinalResponse
 }
 
-// hasFraming reports whether the response has a length or a transfer encoding. A response that is delimited by the end
-// of its connection can't be told from a truncated one.
+// hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no body.
+// A response that is delimited by the end of its connection can't be told from a truncated one.
 func hasFraming(p *http.Response) bool {
-	return p.ContentLength >= 0 || len(p.TransferEncoding) > 0
+	return p.Request.Method == http.MethodHead || p.ContentLength >= 0 || len(p.TransferEncoding) > 0
 }
 
 func broken(r outcome.Reason) Result {
