An answer with a space in the name of a header field is malformed

What callers would see: a 200 with a short body, framed as whole, or with chunk sizes in its body (MIXED).

Cause: net/http lets "Content-Length : 9" and "Transfer-Encoding : chunked" pass as fields with unknown names. The answer then had no length and was whole whenever its connection closed.

Evidence: TestMalformedFraming/length_in_a_name_with_a_space and /chunks_in_a_name_with_a_space failed before: "event Completed, body ok, want broken", with a length of 9.

Why the fix works: a head with such a name breaks the exchange, as HTTP demands of a name of any other malformed kind.

--- a/connection/exchange/cut_test.go
+++ b/connection/exchange/cut_test.go
@@ -238,6 +238,8 @@
 		{"hexadecimal", "Content-Length: 0x2\r\n"},
 		{"digits in two lines", "Content-Length: 1\r\n 2\r\n"},
 		{"too long a number", "Content-Length: 99999999999999999999\r\n"},
+		{"length in a name with a space", "Content-Length : 9\r\n"},
+		{"chunks in a name with a space", "Transfer-Encoding : chunked\r\n"},
 		{"unknown coding", "Transfer-Encoding: gzip, chunked\r\n"},
 		{"two codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
 		{"no coding", "Transfer-Encoding:\r\n"},
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/connection/pool"
@@ -28,8 +29,12 @@
 	maxInformational             = 5
 )
 
-// errNoFinalResponse means that only informational (1xx) responses came, or one that switches protocols.
-var errNoFinalResponse = errors.New("exchange: no final response")
+// Errors of a response header.
+var (
+	// errNoFinalResponse means that only informational (1xx) responses came, or one that switches protocols.
+	errNoFinalResponse = errors.New("exchange: no final response")
+	errMalformedName   = errors.New("exchange: malformed name of a header field")
+)
 
 // roundTrip writes the request and reads its response. It reports whether the connection may be used again.
 func (e *Exchanger) roundTrip(n *pool.Conn, c *call.Call, q *http.Request) (Result, bool) {
@@ -77,6 +82,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if hasMalformedName(p.Header) {
+			return nil, errMalformedName
+		}
 		if p.StatusCode >= http.StatusOK {
 			return p, nil
 		}
@@ -87,6 +95,17 @@
 	return nil, errNoFinalResponse
 }
 
+// hasMalformedName reports whether the name of a header field contains a space. The parser lets such fields pass, but
+// takes none of them for a length or a transfer encoding.
+func hasMalformedName(h http.Header) bool {
+	for n := range h {
+		if strings.Contains(n, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no body.
 // A response that is delimited by the end of its connection can't be told from a truncated one.
 func hasFraming(p *http.Response) bool {
