An HTTP/1.0 answer with a transfer encoding breaks the exchange

What callers would see: a 200 whose body holds the sizes of chunks, or a part of them, framed as whole (MIXED).

Cause: net/http drops Transfer-Encoding from an HTTP/1.0 response and takes its body as it is, to the end of the connection or for a length that stands beside.

Evidence: TestCodingInOldVersion failed before in its three cases, without a length, with one and with keep-alive: "event Completed, body 2\r\nok\r\n0\r\n\r\n, want broken".

Why the fix works: the head of an HTTP/1.0 response is looked through in the buffer of the connection before it is parsed, and one with the field breaks the exchange, as HTTP demands. An HTTP/1.0 head larger than the buffer of 4 KB can't be looked through and breaks the exchange too (TestLongHeadInOldVersion).

--- a/connection/exchange/cut_test.go
+++ b/connection/exchange/cut_test.go
@@ -226,6 +226,36 @@
 	}
 }
 
+// TestCodingInOldVersion guards against a 200 with chunk sizes in its body, or with a part of it: HTTP/1.0 has no
+// transfer encodings, so that nothing tells where such an answer ends.
+func TestCodingInOldVersion(t *testing.T) {
+	for _, fields := range []string{"", "Content-Length: 2\r\n", "Connection: keep-alive\r\n"} {
+		text := "HTTP/1.0 200 OK\r\n" + fields + "X-Request: r-1\r\ntransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		c := clock.New()
+		p := NewPool("t", 1, dialScripted(func(*http.Request) string { return text }), c)
+		d := NewTargetClient("i-1", "t", p, c, names, NewBodyBudget(0), func(Notice, error) {})
+		x := d.Do(context.Background(), nil, callWithID("r-1"), allow)
+		if x.Event != (outcome.Broken{Reason: outcome.Reset}) {
+			t.Errorf("fields %q: event %#v, body %q, want broken", fields, x.Event, x.Body)
+		}
+	}
+}
+
+// TestLongHeadInOldVersion guards against an endless wait, or an answer that counts unchecked, behind a head of
+// HTTP/1.0 that exceeds the buffer.
+func TestLongHeadInOldVersion(t *testing.T) {
+	for size, want := range map[int]outcome.Event{3000: outcome.Completed{}, 5000: outcome.Broken{Reason: outcome.Reset}} {
+		text := "HTTP/1.0 200 OK\r\nX-Request: r-1\r\nX-Pad: " + strings.Repeat("x", size) +
+			"\r\nContent-Length: 2\r\n\r\nok"
+		c := clock.New()
+		p := NewPool("t", 1, dialScripted(func(*http.Request) string { return text }), c)
+		d := NewTargetClient("i-1", "t", p, c, names, NewBodyBudget(0), func(Notice, error) {})
+		if x := d.Do(context.Background(), nil, callWithID("r-1"), allow); x.Event != want {
+			t.Errorf("head of %d bytes: event %#v, want %#v", size, x.Event, want)
+		}
+	}
+}
+
 // TestMalformedFraming guards against an answer whose framing can't be trusted and that counted as whole when its
 // connection was closed.
 func TestMalformedFraming(t *testing.T) {
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -78,6 +78,9 @@
 // readHeader reads the header of the final response and skips informational (1xx) responses before it.
 func readHeader(n *pool.Conn, method string) (*http.Response, error) {
 	for range maxInformational + 1 {
+		if err := checkOldVersion(n.Reader); err != nil {
+			return nil, err
+		}
 		p, err := http.ReadResponse(n.Reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
