One odd object no longer fails a listing or a watch

What callers would see: one object in the store that is nested deeper than 10,000 levels, or whose metadata has a field of another type, and no machine learns of any further change of that kind: targets that have left or are draining go on getting requests, new ones get none, and a gateway that starts never gets ready.

Cause: encoding/json rejects a text as a whole beyond its depth limit, and List and Watch failed as a whole when one object could not be read. The follower listed again and again. An object without a name became a record with the name "", after which a listing could begin again from the start.

Evidence, on: platform.TestOddEntryFailsListing and TestOddEntryFailsWatch fail for 11 of the rows, for example "spec nested 10,001 times: 0 records, error list targets: decode response: invalid character '[' exceeded max depth"; process/fleet.TestOddEntryEndsFollowing fails: "the second target alone: condition not met within 2s".

A splitter finds the extent of each value without building it, without recursion, so that each object is decoded by itself and becomes an Undecodable under its name. What has no readable name is left out and counted; after a watch with one the kind is listed again, since it can't be told which entry it was. A response that is cut off is still an error as a whole (TestTruncatedListing). go.mod offers nothing for this: jsontext has the same limit, and protojson builds values. A cause quotes at most 200 bytes of another writer's text; the findings in a configuration stay complete (TestDecodeInvalidTeams fails otherwise). The cursor of a page is bounded, since a name of 100,000 bytes fits in no request line.

Runs: go test -race platform, process/catalog, process/fleet: all pass. FuzzSplit 117,644 inputs, compared with encoding/json where the text is valid, and FuzzDecode 100,000: no finding. The golden files show what is still accepted, for example ports out of range and numbers that overflow; that is another fault.

--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -168,17 +168,22 @@
 // errEraChanged means that the store has come back from an older copy between two pages of a listing.
 var errEraChanged = errors.New("catalog: the store's era has changed during a listing")
 
+// errNoProgress means that a page of a listing ends with the name after which it was to begin.
+var errNoProgress = errors.New("catalog: page of a listing does not go beyond the one before")
+
 // List reads all pages of a kind into the catalog and returns the position to watch from. The position of a stale
 // listing is not recorded in the catalog: its content may be from before the store's current era.
 func (f *Follower) List(ctx context.Context, k Kind, s Freshness) (Position, error) {
 	var records []Record
 	var asOf Position
 	after := ""
+	leftOut := 0
 	for {
 		p, err := f.listPage(ctx, k, after, s)
 		if err != nil {
 			return Position{}, err
 		}
+		leftOut += p.LeftOut
 		// A watch from the first page's revision also returns the changes made between two pages.
 		if !asOf.Known() {
 			asOf = p.AsOf
@@ -190,7 +195,14 @@
 		if !p.More || len(p.Records) == 0 {
 			break
 		}
-		after = p.Records[len(p.Records)-1].Name
+		next := p.Records[len(p.Records)-1].Name
+		if next == after {
+			return Position{}, errNoProgress
+		}
+		after = next
+	}
+	if leftOut > 0 {
+		f.log.Warn().Str("Kind", k.String()).Int("Objects", leftOut).Msg("listing has objects without a readable name")
 	}
 	if s == Stale {
 		f.catalog.Replace(k, records, Position{})
@@ -257,8 +269,14 @@
 			f.backOff(ctx)
 			return since
 		}
-		since = b.AsOf
 		f.catalog.Apply(k, b)
+		if b.LeftOut > 0 {
+			f.log.Warn().Str("Kind", k.String()).Int("Objects", b.LeftOut).
+				Msg("changes have objects without a readable name; listing again")
+			f.backOff(ctx)
+			return Position{}
+		}
+		since = b.AsOf
 		if k == Configurations {
 			f.checkMissedChanges(b.AsOf.Revision)
 		}
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -103,12 +103,16 @@
 	More    bool
 	// AsOf is the state of the store that the page shows.
 	AsOf Position
+	// LeftOut is the number of objects on the page without a name that can be read.
+	LeftOut int
 }
 
 // Batch holds the changes between two positions of one era; AsOf is the later one.
 type Batch struct {
 	Changes []Change
 	AsOf    Position
+	// LeftOut is the number of changes to objects without a name that can be read.
+	LeftOut int
 }
 
 // Freshness says whether a listing may be out of date.
@@ -130,7 +134,7 @@
 	// Watch waits at most the given time for changes after a revision; it fails with ErrHistoryGone if they are lost. The
 	// changes are of the store's current era, which may be later than the one in which it had that revision.
 	Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error)
-	// Decode decodes an object as encoded in the store.
+	// Decode decodes an object as encoded in the store. It fails only if no name can be read in it.
 	Decode(k Kind, raw []byte) (Record, error)
 	// Register writes the entry of a member, replacing an older one, and returns the position of the entry.
 	Register(ctx context.Context, m roster.Member) (Position, error)
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -45,6 +45,8 @@
 	firstStart bool
 	// registrations counts the calls that register a member.
 	registrations atomic.Int32
+	// texts, unless nil, replaces texts in the responses of the store.
+	texts atomic.Pointer[strings.Replacer]
 }
 
 func newTestFleet(t *testing.T, n int) *testFleet {
@@ -54,7 +56,7 @@
 		if r.Method == http.MethodPost {
 			b.registrations.Add(1)
 		}
-		b.store.ServeHTTP(w, r)
+		b.serveStore(w, r)
 	}))
 	t.Cleanup(b.http.Close)
 	b.store.Put("config", "main", `{"version":1,"hosts":[]}`)
