--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -360,7 +360,7 @@
 	b.waitForReaders(t)
 	most := 0
 	for i := range targets {
-		b.store.Put("servers", fmt.Sprintf("i-%d", i), fmt.Sprintf(targetSpec, i))
+		b.store.Put("servers", fmt.Sprintf("i-%d", i), fmt.Sprintf(targetSpec, i+1))
 		time.Sleep(span / targets)
 		most = max(most, b.readerCount())
 	}
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -39,8 +39,10 @@
 	// adjust, unless nil, changes the settings before the start, and log is the log of the gateway.
 	adjust func(*gateway.Settings)
 	log    zerolog.Logger
-	stop   context.CancelFunc
-	done   chan error
+	// front, unless nil, stands between the gateways and the store.
+	front func(http.Handler) http.Handler
+	stop  context.CancelFunc
+	done  chan error
 }
 
 const configuration = `{"version":%d,"services":[{"name":"book","health-path":"/health","max-conns":50}],
@@ -73,7 +75,11 @@
 	if b.grace == 0 {
 		b.grace = 3 * time.Second
 	}
-	h := httptest.NewServer(b.store)
+	var store http.Handler = b.store
+	if b.front != nil {
+		store = b.front(store)
+	}
+	h := httptest.NewServer(store)
 	t.Cleanup(h.Close)
 	for i := range targets {
 		g, err := target.Start(fmt.Sprintf("i-%d", i), 2, work, &platform.Headers, b.runLog)
