An odd entry is logged once a revision with its name, kind and cause

What operators would see: a target gets no requests, and nothing in the log says why, if its entry was odd in the first listing or came in a batch of more than 16 changes; the same revision read again was logged again.

Cause: only single changes were logged one by one.

Evidence: TestOddEntryUnreported on: "first listing: 0 causes in the log, want 2", "the same again: 1 causes in the log, want 0", "large batch: 0 causes in the log, want 2".

Odd entries are now logged in listings and large batches too, up to 16 one by one and with their number beyond, and a name that another writer has chosen is cut at 100 bytes.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -136,6 +136,7 @@
 	}
 	g.log.Info().Str("Kind", k.String()).Int("Records", len(n)).Uint64("AsOf", uint64(asOf.Revision)).
 		Uint64("Era", uint64(asOf.Era)).Msg("listing loaded")
+	g.logOddListed(k, old, n)
 	g.asOf[k], g.lastChange[k] = asOf, asOf
 	g.history[k].reset(asOf)
 	g.setRecords(k, n)
@@ -293,21 +294,68 @@
 		}
 		g.log.Info().Str("Kind", k.String()).Int("Written", len(l)-removed).Int("Removed", removed).
 			Msg("many objects changed")
+		g.logOdd(k, l, old)
 		return
 	}
 	for _, c := range l {
 		if c.Deleted {
-			g.log.Info().Str("Kind", k.String()).Str("Name", c.Name).Msg("object is gone")
+			g.log.Info().Str("Kind", k.String()).Str("Name", loggedName(c.Name)).Msg("object is gone")
 			continue
 		}
 		g.logChange(k, c.Record, old)
 	}
 }
 
+// logOdd logs the objects that can't be decoded among many changes, up to maxLoggedChanges one by one.
+func (g *Catalog) logOdd(k Kind, l []Change, old map[string]Record) {
+	n := 0
+	for _, c := range l {
+		if _, odd := c.Entry.(Undecodable); !odd || c.Deleted || isSameOdd(old[c.Name], c.Record) {
+			continue
+		}
+		if n++; n <= maxLoggedChanges {
+			g.logChange(k, c.Record, old)
+		}
+	}
+	if n > maxLoggedChanges {
+		g.log.Info().Str("Kind", k.String()).Int("Objects", n).Msg("many objects can't be decoded")
+	}
+}
+
+// logOddListed does the same for a listing that replaces all records.
+func (g *Catalog) logOddListed(k Kind, old, listed map[string]Record) {
+	l := make([]Change, 0, len(listed))
+	for _, r := range listed {
+		l = append(l, Change{Record: r})
+	}
+	g.logOdd(k, l, old)
+}
+
+// isSameOdd reports whether two records are the same state of an object that can't be decoded.
+func isSameOdd(a, b Record) bool {
+	_, oddA := a.Entry.(Undecodable)
+	_, oddB := b.Entry.(Undecodable)
+	return oddA && oddB && a.Revision == b.Revision
+}
+
+// maxLoggedName bounds the length of a name in the log, which another writer may have chosen.
+const maxLoggedName = 100
+
+// loggedName returns the beginning of a name.
+func loggedName(n string) string {
+	if len(n) > maxLoggedName {
+		return n[:maxLoggedName] + "..."
+	}
+	return n
+}
+
 // logChange logs a new or changed record.
 func (g *Catalog) logChange(k Kind, r Record, old map[string]Record) {
 	o := old[r.Name]
-	e := g.log.Info().Str("Kind", k.String()).Str("Name", r.Name).Uint64("Revision", uint64(r.Revision))
+	if isSameOdd(o, r) {
+		return
+	}
+	e := g.log.Info().Str("Kind", k.String()).Str("Name", loggedName(r.Name)).Uint64("Revision", uint64(r.Revision))
 	switch v := r.Entry.(type) {
 	case Registration:
 		if was, ok := o.Entry.(Registration); ok && was.Target.Draining == v.Target.Draining &&
