A target whose entry has become odd stays out after a copy of the store

What callers would see: the entry of a target becomes odd, the store comes back from a copy that still has the good one, and the target gets requests again at once, unlike a target whose entry was removed.

Cause: the catalog remembered removals alone.

Evidence: TestOddEntryBackAfterCopy on: "1 targets available in the new era, want none".

Runs: go test -race process/catalog, process/fleet: passed.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -198,6 +198,7 @@
 	for _, c := range b.Changes {
 		g.carried.recordWrite(k, c.Name)
 		if !c.Deleted {
+			g.recordReplaced(k, n[c.Name], c.Record)
 			n[c.Name] = c.Record
 			delete(g.retentionEnds, c.Name)
 			continue
@@ -242,6 +243,13 @@
 	}
 }
 
+// recordReplaced remembers a record as removed if its object can't be decoded any longer.
+func (g *Catalog) recordReplaced(k Kind, old, r Record) {
+	if _, odd := r.Entry.(Undecodable); odd {
+		g.finishRemoval(k, old)
+	}
+}
+
 // isRetained reports whether a record is a target that the store no longer has.
 func (g *Catalog) isRetained(k Kind, name string) bool {
 	_, ok := g.retentionEnds[name]
--- a/process/catalog/odd_entry_test.go
+++ b/process/catalog/odd_entry_test.go
@@ -47,3 +47,24 @@
 	g.Apply(Targets, Batch{Changes: many, AsOf: Position{Revision: 7}})
 	expect("large batch", "i-3", strings.Repeat("i", maxLoggedName)+"...")
 }
+
+// TestOddEntryBackAfterCopy checks that a target whose entry has become odd stays out when the store comes back from a
+// copy that still has the good one, as after a removal: it got requests again.
+func TestOddEntryBackAfterCopy(t *testing.T) {
+	g := New(clock.NewFake(), zerolog.Nop())
+	good := Record{Name: "i-1", Revision: 1, Entry: registration("i-1", false)}
+	g.Replace(Targets, []Record{good}, Position{Era: 1, Revision: 1})
+	g.Apply(Targets, Batch{Changes: []Change{{Record: oddRecord("i-1", 2)}}, AsOf: Position{Era: 1, Revision: 2}})
+	if n := len(g.Get().Roster.Available("s")); n != 0 {
+		t.Fatalf("%d targets available after the entry became odd, want none", n)
+	}
+	g.Replace(Targets, []Record{good}, Position{Era: 2, Revision: 1})
+	if n := len(g.Get().Roster.Available("s")); n != 0 {
+		t.Errorf("%d targets available in the new era, want none", n)
+	}
+	good.Revision = 2
+	g.Apply(Targets, Batch{Changes: []Change{{Record: good}}, AsOf: Position{Era: 2, Revision: 2}})
+	if n := len(g.Get().Roster.Available("s")); n != 1 {
+		t.Errorf("%d targets available after the target wrote again, want one", n)
+	}
+}
