Bound all bodies of requests and answers that a gateway holds

Cause: the handler read each body with io.ReadAll, whose buffer doubles, and TargetClient copied it once more for each attempt. Nothing bounded the bodies of requests that were held at a time, nor complete answers that wait for slow callers; a budget of 0.15 of the memory covered bodies of responses only while they were read.

Change: one budget, a third of the VM's memory, for all bodies: of callers' requests and of those of other VMs, through all attempts until the answer is written, and of the answers. An account of the request holds its part and returns it when the handler ends, also after a panic. Small bodies (64 KiB) count too; large ones may fill 0.8 (requests) or 0.95 (answers) of the budget, so that small ones find room beside them. A body of known length takes one buffer of that size, and its part before anything of it is read; the body is written from that buffer (net.Buffers). Large parts that were freed count until the collector has run, which a body that needs them starts. No room: 503 with Retry-After at once, connection closed, and the rest of the body read and dropped for 2 s, so that callers that send first get the answer. A body that can never find room gets 413: a 503 would have the caller send it again in vain. A body that has not arrived by the caller's time limit, or in 30 s, gets 408, since it holds its part. An answer without room ends 502 as before, but no longer counts against the target or its version, and isn't run again. The soft limit of the collector is 0.45 instead of 0.4 of the memory, for room beside the budget.

--- a/connection/exchange/body_budget.go
+++ b/connection/exchange/body_budget.go
@@ -1,79 +1,148 @@
 package exchange
 
 import (
-	"errors"
-	"io"
+	"math"
+	"runtime"
 	"sync"
 
 	"github.com/amaranthramp/amaranthramp/ident"
-	"github.com/amaranthramp/amaranthramp/request/call"
 )
 
+// SmallBody is the size in bytes up to which a body counts as small. Large bodies can't take the whole budget, so that
+// small ones find room beside them.
+const SmallBody = 64 << 10
+
+// The shares of the budget that may be in use after a large body has got its part. Bodies of requests leave room for
+// bodies of responses, whose requests have run.
 const (
-	// unbudgetedBody is the size up to which a body is read without a part of the budget.
-	unbudgetedBody ident.Bytes = 64 << 10
-	// firstBuffer is the size of the buffer with which the reading of a body begins.
-	firstBuffer ident.Bytes = 4 << 10
+	largeRequestShare  = 0.8
+	largeResponseShare = 0.95
 )
 
-// errBodyBudget means that the budget for bodies is used up.
-var errBodyBudget = errors.New("exchange: budget for response bodies used up")
+// bodyKind is the kind of message to which a body belongs.
+type bodyKind int
+
+const (
+	requestBody bodyKind = iota
+	responseBody
+)
 
-// BodyBudget bounds the memory of all large response bodies that a process reads at the same time, so that targets that
-// send bodies without end can't fill it. It is safe for concurrent use.
+// BodyBudget bounds the memory of all bodies of requests and responses that a process holds at the same time. Memory of
+// large bodies counts until it has been collected. It is safe for concurrent use.
 type BodyBudget struct {
 	limit ident.Bytes
+	// collect runs the garbage collector.
+	collect func()
+	// collecting is held while the garbage collector runs.
+	collecting sync.Mutex
 
 	mu   sync.Mutex
-	used ident.Bytes
+	used bodyMemory
+	// freed is the memory of large bodies that are no longer used, but may not have been collected yet.
+	freed ident.Bytes
+}
+
+// bodyMemory is the memory of small and of large bodies.
+type bodyMemory struct {
+	small, large ident.Bytes
+}
+
+// memoryOf returns the memory of one body or buffer.
+func memoryOf(n ident.Bytes) bodyMemory {
+	if n > SmallBody {
+		return bodyMemory{large: n}
+	}
+	return bodyMemory{small: n}
+}
+
+func (m bodyMemory) plus(o bodyMemory) bodyMemory {
+	return bodyMemory{small: m.small + o.small, large: m.large + o.large}
+}
+
+func (m bodyMemory) minus(o bodyMemory) bodyMemory {
+	return bodyMemory{small: m.small - o.small, large: m.large - o.large}
+}
+
+func (m bodyMemory) total() ident.Bytes {
+	return m.small + m.large
 }
 
 // NewBodyBudget returns a budget of the given number of bytes; zero means no bound.
 func NewBodyBudget(limit ident.Bytes) *BodyBudget {
-	return &BodyBudget{limit: limit}
+	return &BodyBudget{limit: limit, collect: runtime.GC}
 }
 
-func (b *BodyBudget) reserve(n ident.Bytes) bool {
+// Open returns an account for the bodies of one request and of the responses to it. It must be closed.
+func (b *BodyBudget) Open() *BodyAccount {
+	return &BodyAccount{budget: b}
+}
+
+// bound returns how much of the budget may be in use after a body of the given kind and size has got its part.
+func (b *BodyBudget) bound(k bodyKind, n ident.Bytes) ident.Bytes {
+	switch {
+	case b.limit == 0:
+		return math.MaxInt64
+	case n <= SmallBody:
+		return b.limit
+	case k == requestBody:
+		return ident.Bytes(largeRequestShare * float64(b.limit))
+	default:
+		return ident.Bytes(largeResponseShare * float64(b.limit))
+	}
+}
+
+// largest returns the size of the largest body that the budget can hold beside no other.
+func (b *BodyBudget) largest(k bodyKind) ident.Bytes {
+	return max(b.bound(k, SmallBody+1), min(SmallBody, b.limit))
+}
+
+// reserve takes n bytes out of the budget and reports whether it could. It collects garbage if that gives the room.
+func (b *BodyBudget) reserve(k bodyKind, n ident.Bytes) bool {
+	most := b.bound(k, n)
+	ok, collectable := b.take(n, most)
+	if !collectable {
+		return ok
+	}
+	b.collectFreed()
+	ok, _ = b.take(n, most)
+	return ok
+}
+
+// take takes n bytes if no more than the given number is in use then. If it can't, it reports whether it could without
+// the memory that is freed but not collected.
+func (b *BodyBudget) take(n, most ident.Bytes) (ok, collectable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && b.used+n > b.limit {
-		return false
+	used := b.used.total()
+	if n > most-used-b.freed {
+		return false, n <= most-used
 	}
-	b.used += n
-	return true
+	b.used = b.used.plus(memoryOf(n))
+	return true, false
 }
 
-func (b *BodyBudget) release(n ident.Bytes) {
+// collectFreed collects the memory that has been freed before.
+func (b *BodyBudget) collectFreed() {
+	b.collecting.Lock()
+	defer b.collecting.Unlock()
+	b.mu.Lock()
+	n := b.freed
+	b.mu.Unlock()
+	if n == 0 {
+		return
+	}
+	b.collect()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= n
+	b.freed -= n
 }
 
-// readBody reads a body of at most call.MaxBody+1 bytes. It fails with errBodyBudget if the budget doesn't allow the
-// memory for it.
-func (b *BodyBudget) readBody(r io.Reader) ([]byte, error) {
-	buf := make([]byte, 0, firstBuffer)
-	reserved := ident.Bytes(0)
-	defer func() { b.release(reserved) }()
-	for {
-		n, err := r.Read(buf[len(buf):min(cap(buf), call.MaxBody+1)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) || err == nil && len(buf) > call.MaxBody {
-			return buf, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(buf) < cap(buf) {
-			continue
-		}
-		size := min(2*ident.Bytes(cap(buf)), call.MaxBody+1)
-		if size > unbudgetedBody {
-			if !b.reserve(size - reserved) {
-				return nil, errBodyBudget
-			}
-			reserved = size
-		}
-		buf = append(make([]byte, 0, size), buf...)
+// release returns memory that is no longer used.
+func (b *BodyBudget) release(m bodyMemory) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used = b.used.minus(m)
+	if b.limit > 0 {
+		b.freed += m.large
 	}
 }
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -45,12 +45,12 @@
 		}
 		return broken(reasonOfIOError(err)), false
 	}
-	return e.readResponse(n, c.Method, q.Header.Get(call.HeaderExchangeID))
+	return e.readResponse(n, c, q.Header.Get(call.HeaderExchangeID))
 }
 
-func (e *Exchanger) readResponse(n *pool.Conn, method, id string) (Result, bool) {
+func (e *Exchanger) readResponse(n *pool.Conn, c *call.Call, id string) (Result, bool) {
 	n.SetReadLimit(maxHeaderBytes)
-	p, err := readHeader(n, method)
+	p, err := readHeader(n, c.Method)
 	if err != nil {
 		return broken(reasonOfIOError(err)), false
 	}
@@ -62,13 +62,10 @@
 		return broken(outcome.Truncated), false
 	}
 	n.SetReadLimit(maxBodyBytes)
-	b, err := e.bodies.readBody(p.Body)
+	b, err := readBody(e.bodies, c, p)
 	if err != nil {
 		return broken(reasonOfBodyError(err)), false
 	}
-	if len(b) > call.MaxBody {
-		return broken(outcome.TooLarge), false
-	}
 	p.Header.Del(call.HeaderExchangeID)
 	// Bytes after the response belong to no request, so the connection can't be trusted with another one.
 	keep := !p.Close && n.Reader.Buffered() == 0
@@ -109,6 +106,21 @@
 	return false
 }
 
+// readBody reads the body of a response to a call. The memory for it counts as held by the call's request if that has
+// an account, else it counts in the budget until the body has been read.
+func readBody(b *BodyBudget, c *call.Call, p *http.Response) ([]byte, error) {
+	n := p.ContentLength
+	if p.Body == http.NoBody {
+		n = 0
+	}
+	if c.Bodies != nil {
+		return c.Bodies.ReadResponse(p.Body, n)
+	}
+	a := b.Open()
+	defer a.Close()
+	return a.ReadResponse(p.Body, n)
+}
+
 // hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no body.
 // A response that is delimited by the end of its connection can't be told from a truncated one.
 func hasFraming(p *http.Response) bool {
@@ -162,9 +174,12 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &t) && t.Timeout()) {
 		return outcome.Silent
 	}
-	if errors.Is(err, pool.ErrReadLimit) || errors.Is(err, errBodyBudget) {
+	if errors.Is(err, pool.ErrReadLimit) || errors.Is(err, ErrBodyTooLarge) {
 		return outcome.TooLarge
 	}
+	if errors.Is(err, ErrNoRoom) {
+		return outcome.Overload
+	}
 	return outcome.Reset
 }
 
--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -196,9 +197,13 @@
 // roundTrip writes the call and reads its response. It reports whether the connection may be used again.
 func (d *TargetClient) roundTrip(n *pool.Conn, c *call.Call) (Result, bool) {
 	n.Carry(c.ID, c.Method)
-	w := &countingWriter{w: n}
-	if _, err := w.Write(d.encodeRequest(c)); err != nil {
-		if w.n == 0 {
+	// The body is written from its only buffer.
+	q := net.Buffers{d.encodeHeader(c)}
+	if len(c.Body) > 0 {
+		q = append(q, c.Body)
+	}
+	if written, err := q.WriteTo(n.Conn); err != nil {
+		if written == 0 {
 			return neverWritten(outcome.Unreachable), false
 		}
 		return broken(reasonOfIOError(err)), false
@@ -222,14 +227,11 @@
 			return broken(outcome.Crossed), false
 		}
 		n.SetReadLimit(maxBodyBytes)
-		b, err := d.bodies.readBody(p.Body)
+		b, err := readBody(d.bodies, c, p)
 		_ = p.Body.Close()
 		if err != nil {
 			return broken(reasonOfBodyError(err)), false
 		}
-		if len(b) > call.MaxBody {
-			return broken(outcome.TooLarge), false
-		}
 		if own {
 			// After one mismatched response there may be more of them, so the connection isn't used again.
 			return d.result(p, b), i == 0 && reusable(n, p)
@@ -276,8 +278,8 @@
 	return r
 }
 
-// encodeRequest returns the whole request as it is written to the connection.
-func (d *TargetClient) encodeRequest(c *call.Call) []byte {
+// encodeHeader returns the request without its body as it is written to the connection.
+func (d *TargetClient) encodeHeader(c *call.Call) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Path, c.Host)
 	h := c.Header.Clone()
@@ -293,7 +295,6 @@
 	// Writing to a bytes.Buffer doesn't fail.
 	_ = h.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(c.Body)
 	return b.Bytes()
 }
 
--- a/connection/peer/mux.go
+++ b/connection/peer/mux.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/amaranthramp/amaranthramp/connection/exchange"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/request/call"
@@ -23,13 +25,14 @@
 // Mux serves the requests of other members: forwarded calls and messages.
 type Mux struct {
 	dispatcher Dispatcher
+	bodies     *exchange.BodyBudget
 	clock      clock.Clock
 	handlers   map[MessageKind]MessageHandler
 }
 
-// NewMux returns the HTTP handler for a member's peer address.
-func NewMux(d Dispatcher, c clock.Clock) *Mux {
-	return &Mux{dispatcher: d, clock: c, handlers: map[MessageKind]MessageHandler{}}
+// NewMux returns the HTTP handler for a member's peer address. The bodies that it reads share the budget b with others.
+func NewMux(d Dispatcher, b *exchange.BodyBudget, c clock.Clock) *Mux {
+	return &Mux{dispatcher: d, bodies: b, clock: c, handlers: map[MessageKind]MessageHandler{}}
 }
 
 // Register sets the handler for a kind of message; it must not be called after the mux has begun to serve.
@@ -39,24 +42,30 @@
 
 // ServeHTTP serves one forwarded call or message.
 func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, call.MaxBody+1))
-	if err != nil {
-		return
-	}
-	call.CopyIDs(w.Header(), r.Header)
-	if k := MessageKind(r.Header.Get(call.HeaderMessage)); k != "" {
-		m.serveMessage(r.Context(), w, k, b)
-		return
-	}
-	if len(b) > call.MaxBody {
-		// The rest of the body was not read. A target must never get a part of a body as if it were all of it.
-		a := call.Rejected(outcome.TooLarge, http.StatusRequestEntityTooLarge)
-		encodeAnswer(&a, w.Header())
+	l := m.bodies.Open()
+	defer l.Close()
+	b, err := l.ReadRequest(r.Body, r.ContentLength, call.MaxBody)
+	switch k := MessageKind(r.Header.Get(call.HeaderMessage)); {
+	case errors.Is(err, exchange.ErrBodyTooLarge):
+		// The other member reads the answer only once it has sent the body.
+		_, _ = io.CopyN(io.Discard, r.Body, call.MaxBody+1)
+		writeAnswer(w, r, call.Rejected(outcome.TooLarge, http.StatusRequestEntityTooLarge))
+	case errors.Is(err, exchange.ErrNoRoom):
+		// Another member may have room.
+		writeAnswer(w, r, call.NotRun(outcome.Unreachable))
+	case err != nil:
+	case k != "":
 		call.CopyIDs(w.Header(), r.Header)
-		w.WriteHeader(a.Status)
-		return
+		m.serveMessage(r.Context(), w, k, b)
+	default:
+		c := decodeCall(r, b, m.clock.Now())
+		c.Bodies = l
+		writeAnswer(w, r, m.dispatcher.Dispatch(r.Context(), c))
 	}
-	a := m.dispatcher.Dispatch(r.Context(), decodeCall(r, b, m.clock.Now()))
+}
+
+// writeAnswer sends the answer to a forwarded call.
+func writeAnswer(w http.ResponseWriter, r *http.Request, a call.Answer) {
 	encodeAnswer(&a, w.Header())
 	call.CopyIDs(w.Header(), r.Header)
 	w.WriteHeader(a.Status)
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -81,7 +81,7 @@
 func TestForward(t *testing.T) {
 	d := &echoDispatcher{}
 	c := clock.New()
-	s := httptest.NewUnstartedServer(NewMux(d, c))
+	s := httptest.NewUnstartedServer(NewMux(d, exchange.NewBodyBudget(0), c))
 	var open atomic.Int64
 	s.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		open.Add(map[http.ConnState]int64{http.StateNew: 1, http.StateClosed: -1}[s])
@@ -126,7 +126,7 @@
 func TestForwardTooLarge(t *testing.T) {
 	d := &echoDispatcher{}
 	c := clock.New()
-	s := httptest.NewServer(NewMux(d, c))
+	s := httptest.NewServer(NewMux(d, exchange.NewBodyBudget(0), c))
 	defer s.Close()
 	n := NewClient(exchange.NewBodyBudget(0), c)
 	q := &call.Call{
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -252,7 +252,8 @@
 	case outcome.Completed:
 		failed = r.Status >= 500
 	case outcome.Broken:
-		if e.Reason == outcome.Cancelled {
+		if e.Reason == outcome.Cancelled || e.Reason == outcome.Overload {
+			// The caller has left, or this VM has no room for the response.
 			u.trust.recordInconclusive()
 			return
 		}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -113,7 +113,7 @@
 	}
 	a := e.settings.Entry
 	f := &countingForwarder{next: e.forwarder, metrics: e.metrics, clock: e.clock}
-	mux := peer.NewMux(e.dispatcher, e.clock)
+	mux := peer.NewMux(e.dispatcher, exchange.NewBodyBudget(0), e.clock)
 	mux.Register(claim.Kind, e.replicas.Receive)
 	mux.Register(quarantine.Kind, e.quarantine.Receive)
 	mux.Register(handover.Kind, e.dispatcher.ReceiveHandover)
--- a/process/gateway/forwarded.go
+++ b/process/gateway/forwarded.go
@@ -60,8 +60,9 @@
 func (g *Gateway) serveForwarded(errs chan<- error) (*http.Server, error) {
 	d := &forwardedDispatcher{gateway: g, slots: make(chan struct{}, maxForwarded)}
 	s := &http.Server{
-		Handler: peer.NewMux(d, g.clock), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: g.errorLog(), BaseContext: func(net.Listener) context.Context { return g.requests() },
+		Handler: peer.NewMux(d, g.bodies, g.clock), ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout: defaultIdleTimeout,
+		ErrorLog:    g.errorLog(), BaseContext: func(net.Listener) context.Context { return g.requests() },
 	}
 	if g.settings.ForwardAddress == "" {
 		return s, nil
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -49,9 +49,10 @@
 	gcPercent = 60
 	// memoryLimitShare is the share of the VM's memory that is set as the soft limit of the garbage collector, which runs
 	// more often near it: the heap of a reader of the store grows while many members fetch updates from it at once.
-	memoryLimitShare = 0.4
-	// bodyShare is the share of the VM's memory for the bodies of responses while they are read.
-	bodyShare = 0.15
+	memoryLimitShare = 0.45
+	// bodyShare is the share of the VM's memory for all bodies of requests and responses that are held at a time. The soft
+	// limit of the garbage collector leaves room for them beside the rest of the heap.
+	bodyShare = 1.0 / 3
 	// quarantineDeaths is how many targets may die under a request before it is quarantined. A target that loses
 	// responses looks like one that dies, so that two in a row are no proof.
 	quarantineDeaths = 3
@@ -79,6 +80,7 @@
 	registry     *prometheus.Registry
 	metrics      *metrics
 	headers      *exchange.Headers
+	bodies       *exchange.BodyBudget
 	droppedLines func() uint64
 	inFlight     *inFlight
 	// requests returns the context of all requests, and abandon ends it with a cause.
@@ -141,7 +143,7 @@
 	y := &Gateway{
 		settings: s, clock: c, log: l, catalog: g, follower: r, fleet: f, upstreams: set, chooser: chooser, detours: d,
 		loads: x, gate: k, relay: relay.New(g, chooser, d, states, b, q, k, c, l), quarantine: q, rollouts: o,
-		retries: b, registry: registry, headers: h, droppedLines: droppedLines,
+		retries: b, registry: registry, headers: h, bodies: bodies, droppedLines: droppedLines,
 		inFlight: newInFlight(c, l),
 	}
 	requests, abandon := context.WithCancelCause(context.Background())
@@ -163,8 +165,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(m)))
 	}
 	h := &handler{
-		catalog: g.catalog, gate: g.gate, limiter: g.limiter, relay: g.relay, headers: g.headers, clock: g.clock,
-		ages: caller.NewAges(), metrics: g.metrics, log: g.log,
+		catalog: g.catalog, gate: g.gate, limiter: g.limiter, relay: g.relay, headers: g.headers, bodies: g.bodies,
+		clock: g.clock, ages: caller.NewAges(), metrics: g.metrics, log: g.log,
 	}
 	callers, err := g.listenForCallers(h)
 	if err != nil {
--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -35,6 +33,7 @@
 	relay   *relay.Relay
 	ages    *caller.Ages
 	headers *exchange.Headers
+	bodies  *exchange.BodyBudget
 	clock   clock.Clock
 	metrics *metrics
 	log     zerolog.Logger
@@ -60,11 +59,15 @@
 		h.refuse(w, r, a, "API key: "+string(cause))
 		return
 	}
-	c, reason := h.readCall(r, t)
+	l := h.bodies.Open()
+	defer l.Close()
+	b, reason := h.readBody(w, r, t, l)
 	if reason != "" {
-		h.refuse(w, r, call.Rejected(reason, statusFor(reason)), "request can't be read")
+		h.refuseUnread(w, r, unreadAnswer(reason))
 		return
 	}
+	c := h.newCall(r, t, b)
+	c.Bodies = l
 	identify(c, k, m, o)
 	if c.Deadline != 0 {
 		now := h.clock.Now()
@@ -131,32 +134,20 @@
 	h.writeAnswer(w, r, a)
 }
 
-// readCall reads a request and its body, up to the size limit of the configuration. It returns a reason if it can't.
-func (h *handler) readCall(r *http.Request, t *route.Table) (*call.Call, outcome.Reason) {
-	limit := int64(call.MaxBody)
-	if n := int64(t.Limits.BodyBytes); n > 0 {
-		limit = n
-	}
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, outcome.TooLarge
-		}
-		return nil, outcome.BadRequest
-	}
+// newCall returns the call that corresponds to a request with the given body.
+func (h *handler) newCall(r *http.Request, t *route.Table, b []byte) *call.Call {
 	d := r.Header.Clone()
 	c := &call.Call{
 		ID: h.requestID(d), Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Header: d, Body: b,
 	}
-	if n, err := strconv.ParseInt(d.Get(h.headers.TimeRemaining), 10, 32); err == nil && n > 0 {
-		c.Deadline = h.clock.Now().Add(time.Duration(n) * time.Millisecond)
+	if n := h.timeRemaining(d); n > 0 {
+		c.Deadline = h.clock.Now().Add(n)
 	}
 	caller.StripHop(d)
 	if t.Teams != nil {
 		credential.Strip(d, h.headers.Team, call.HeaderCredential, call.HeaderTeamService)
 	}
-	return c, ""
+	return c
 }
 
 // requestID returns the request ID that the caller sent, or a random one if there is none, since targets require an ID.
@@ -198,8 +189,7 @@
 		d.Set("Content-Length", length)
 	}
 	w.WriteHeader(a.Status)
-	// The caller may have disconnected; the HTTP server detects that itself.
-	_, _ = w.Write(a.Body)
+	writeBody(w, a.Body)
 }
 
 // startupRetryAfter is the retry delay that a VM sends to callers before it has read a configuration: reading the store
@@ -212,11 +202,3 @@
 	a.RetryAfter = startupRetryAfter
 	return a
 }
-
-// statusFor returns the status of an answer to a request that can't be read.
-func statusFor(r outcome.Reason) int {
-	if r == outcome.TooLarge {
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
-}
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -43,6 +44,15 @@
 	Host     string
 	Header   http.Header
 	Body     []byte
+	// Bodies reads the bodies of the responses into memory that is held until the caller has its answer; if nil, the
+	// sender's own bound applies.
+	Bodies Bodies
+}
+
+// Bodies is the memory that the bodies of one request and of the responses to it hold.
+type Bodies interface {
+	// ReadResponse reads the body of a response of the given length in bytes, which is negative if it is unknown.
+	ReadResponse(r io.Reader, length int64) ([]byte, error)
 }
 
 // Answer is the response to a call.
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -402,7 +402,7 @@
 		s.lastFailure = &a
 		return a, true
 	}
-	return a, d.Retry && !isExpiredOrCancelled(x.Event)
+	return a, d.Retry && !isFinal(x.Event)
 }
 
 // promisesNotRun reports whether the status of a response promises callers that the request has not run, though the
@@ -419,15 +419,18 @@
 	}
 }
 
-// isExpiredOrCancelled reports whether an attempt ended because the deadline passed or the caller cancelled the
-// request.
-func isExpiredOrCancelled(e outcome.Event) bool {
+// isFinal reports whether another attempt would be of no use: the deadline has passed, the caller has cancelled the
+// request, or this VM has no room for the body of the response.
+func isFinal(e outcome.Event) bool {
 	var r outcome.Reason
 	switch v := e.(type) {
 	case outcome.NeverWritten:
 		r = v.Reason
 	case outcome.Broken:
 		r = v.Reason
+		if r == outcome.Overload {
+			return true
+		}
 	}
 	return r == outcome.Expired || r == outcome.Cancelled
 }
--- a/request/relay/version.go
+++ b/request/relay/version.go
@@ -96,8 +96,8 @@
 }
 
 // evidence returns what the result of an attempt says of the version of its target. The response of a cold target, an
-// attempt that has not run or whose caller has disconnected, and one from a VM without a path to the targets say
-// nothing.
+// attempt that has not run, whose caller has disconnected or whose response found no room, and one from a VM without a
+// path to the targets say nothing.
 func (r *Relay) evidence(s *requestState, h *candidate.Choice, x exchange.Result, took time.Duration) rollout.Result {
 	t := &h.Upstream.Target
 	e := rollout.Responded{Route: s.route.Name, Target: t.ID, DataCentre: t.DataCentre, Latency: took}
@@ -105,7 +105,7 @@
 	case outcome.Completed:
 		e.Failed = x.Status >= http.StatusInternalServerError
 	case outcome.Broken:
-		if v.Reason == outcome.Cancelled || r.detours.Partitioned(s.call.Service) {
+		if v.Reason == outcome.Cancelled || v.Reason == outcome.Overload || r.detours.Partitioned(s.call.Service) {
 			return rollout.NotCounted{}
 		}
 		e.Failed = true
