Choose the route by the path with its escapes

Routes are now found by the escaped path, and prefixes are compared as callers write them in a request line, so that letters that need an escape still match.

--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -47,7 +47,7 @@
 		h.refuse(w, r, unavailable(outcome.NoService, http.StatusServiceUnavailable), "no configuration read yet")
 		return
 	}
-	o, ok := t.Find(r.Host, r.URL.Path)
+	o, ok := t.Find(r.Host, r.URL.EscapedPath())
 	if !ok {
 		h.refuse(w, r, call.Rejected(outcome.NoService, http.StatusNotFound), "no route matches the request")
 		return
--- a/request/relay/key.go
+++ b/request/relay/key.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, false
 	}
-	return t.Find(s.call.Host, u.Path)
+	return t.Find(s.call.Host, u.EscapedPath())
 }
 
 // acceptsKey checks the API key of a call that another VM has sent here, and sets the team and the priority of the
--- a/version/route/route_test.go
+++ b/version/route/route_test.go
@@ -28,6 +28,8 @@
 		Route{Name: "all", Host: "a.example", Prefix: "/x/", Services: onlyService("book")},
 		Route{Name: "deep", Host: "a.example", Prefix: "/x/y/", Services: onlyService("desk")},
 		Route{Name: "other", Host: "b.example", Prefix: "/x/", Services: onlyService("desk")},
+		Route{Name: "escape", Host: "c.example", Prefix: "/n%C3%B5/", Services: onlyService("book")},
+		Route{Name: "letter", Host: "d.example", Prefix: "/nõ/", Services: onlyService("book")},
 	)
 	rows := []struct {
 		name, host, path string
@@ -39,7 +41,10 @@
 		{"path without the trailing slash", "a.example", "/x", ""},
 		{"other host", "b.example", "/x/y/1", "other"},
 		{"host with a port and in upper case", "A.example:80", "/x/z", "all"},
-		{"unknown host", "c.example", "/x/", ""},
+		{"escaped slash", "a.example", "/x/y%2F1", "all"},
+		{"escape in the prefix", "c.example", "/n%C3%B5/1", "escape"},
+		{"letter in the prefix that callers escape", "d.example", "/n%C3%B5/1", "letter"},
+		{"unknown host", "e.example", "/x/", ""},
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
--- a/version/route/table.go
+++ b/version/route/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -36,6 +37,7 @@
 			errs = append(errs, err)
 			continue
 		}
+		r.Prefix = escaped(r.Prefix)
 		h := strings.ToLower(r.Host)
 		t.byHost[h] = append(t.byHost[h], r)
 	}
@@ -63,7 +65,16 @@
 	return nil
 }
 
-// Find returns the route of the host with the longest prefix that matches the path.
+// escaped returns a prefix as callers write it in a request line.
+func escaped(prefix string) string {
+	if u, err := url.ParseRequestURI(prefix); err == nil && u.RawQuery == "" {
+		return u.EscapedPath()
+	}
+	return prefix
+}
+
+// Find returns the route of the host with the longest prefix that begins the path. The path is compared with its
+// escapes, as targets get it: an escaped slash ends no prefix.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	l := t.byHost[hostName(host)]
 	for i := range l {
