Keep a program running when the reader of its log ends

What callers saw: all requests in flight on a VM lost at once (LOST). Go ends a program by SIGPIPE when a write to standard output or standard error finds the reader gone, for example a log collector that is restarted.

Evidence: TestLogReaderEnds failed with 'signal: broken pipe' before, and passes.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -49,6 +49,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	defer catchReload()()
+	// A write to a pipe whose reader has ended fails, instead of ending the program.
+	signal.Ignore(syscall.SIGPIPE)
 	s, err := load(*path)
 	if err != nil {
 		return reportError(stderr, name, err)
