Read from a closed connection until the caller has received the answer

A closed connection is now read from until the kernel reports everything as received and a second has passed, 5 s at most.

Evidence: TestLateRequestDuringAnswer got 4096 of 30000 bytes and a reset before, and passes.

--- a/connection/listener/conn.go
+++ b/connection/listener/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/amaranthramp/amaranthramp/ident"
 )
 
@@ -69,8 +71,8 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// Close ends the sending side after all that was written, and the connection once the other side has closed it or
-// lingerTime is over. It does not wait for that.
+// Close ends the sending side after all that was written, and the connection once the other side has closed it or has
+// had lingerTime to do so. It does not wait for that.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,17 +98,38 @@
 	defer c.listener.endLingering()
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
-	// Each error ends the connection all the same.
-	n, _ := io.CopyN(io.Discard, c.TCPConn, int64(maxDiscarded))
-	if n > 0 {
+	discarded := int64(0)
+	for end := time.Now().Add(maxLingerTime); time.Now().Before(end); {
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+		n, err := io.CopyN(io.Discard, c.TCPConn, int64(maxDiscarded)-discarded)
+		discarded += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.allReceived() {
+			break
+		}
+	}
+	if discarded > 0 {
 		c.listener.unread.Add(1)
-		c.listener.log.Info().Str("Caller", c.RemoteAddr().String()).Int64("Bytes", n).
+		c.listener.log.Info().Str("Caller", c.RemoteAddr().String()).Int64("Bytes", discarded).
 			Msg("connection closed with unread bytes")
 	}
 	_ = c.TCPConn.Close()
 }
 
+// allReceived reports whether the other side has acknowledged everything, as far as the kernel tells.
+func (c *conn) allReceived() bool {
+	r, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	unacknowledged := 0
+	err = r.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unacknowledged = n
+		}
+	})
+	return err != nil || unacknowledged == 0
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/connection/listener/listener.go
+++ b/connection/listener/listener.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// lingerTime is how long a closed connection is read from while the other side has not closed it.
-	lingerTime = time.Second
+	// lingerTime is how long a closed connection is read from, while the other side has not closed it, once the other side
+	// has received everything, and maxLingerTime how long at most.
+	lingerTime    = time.Second
+	maxLingerTime = 5 * time.Second
 	// minAcceptDelay and maxAcceptDelay bound the delay after a failed Accept, which doubles with each failure in a row.
 	minAcceptDelay = 5 * time.Millisecond
 	maxAcceptDelay = time.Second
@@ -22,8 +24,8 @@
 )
 
 // Listener is a net.Listener whose connections are closed in two steps: first the sending side, and the rest once the
-// other side has closed it or lingerTime is over. The kernel resets a connection that is closed while bytes of the
-// other side are unread, and then drops what it hasn't delivered of the last answer.
+// other side has closed it or has had lingerTime to do so. The kernel resets a connection that is closed while bytes of
+// the other side are unread, and then drops what it hasn't delivered of the last answer.
 type Listener struct {
 	net.Listener
 	log zerolog.Logger
--- a/connection/listener/listener_test.go
+++ b/connection/listener/listener_test.go
@@ -17,7 +17,21 @@
 // connect returns the two sides of a connection that l accepts.
 func connect(t *testing.T, l *Listener) (caller *net.TCPConn, accepted net.Conn) {
 	t.Helper()
-	c, err := net.Dial("tcp", l.Addr().String())
+	return connectFrom(t, l, &net.Dialer{})
+}
+
+// smallReceiver dials connections with a receive buffer of a few kilobytes.
+var smallReceiver = &net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+	return errors.Join(controlErr, err)
+}}
+
+func connectFrom(t *testing.T, l *Listener, d *net.Dialer) (caller *net.TCPConn, accepted net.Conn) {
+	t.Helper()
+	c, err := d.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,6 +102,28 @@
 	}
 }
 
+// TestLateRequestDuringAnswer guards against a connection that is reset because the next request arrives long after it
+// was closed, while the caller is still receiving the answer.
+func TestLateRequestDuringAnswer(t *testing.T) {
+	l := listen(t)
+	c, n := connectFrom(t, l, smallReceiver)
+	// The answer fits into the buffers of this side.
+	answer := bytes.Repeat([]byte("x"), 30000)
+	if _, err := n.Write(answer); err != nil {
+		t.Fatal(err)
+	}
+	_ = n.Close()
+	time.Sleep(lingerTime + 300*time.Millisecond)
+	if _, err := c.Write([]byte("next request")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	got, err := io.ReadAll(c)
+	if err != nil || len(got) != len(answer) {
+		t.Errorf("caller got %d bytes, error %v, want %d bytes and the end of the connection", len(got), err, len(answer))
+	}
+}
+
 // TestCloseEndsReads guards against a server that goes on reading from a connection after it has closed it.
 func TestCloseEndsReads(t *testing.T) {
 	l := listen(t)
