Give each gateway of the tests addresses of its own

Whether the ports of the gateway that failed were the same isn't recorded; a gateway that ends before it is ready is now reported with its error.

No bound is changed.

--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,14 +53,29 @@
 {"name":"claim","path-prefix":"/claim/","kind":"unsafe","timeout-ms":2000,"aim-ms":500,"service":"book",
 "max-attempts":2}]}]}`
 
+const (
+	// firstPort is below the range of ephemeral ports, so that no outgoing connection takes one of the tests' ports.
+	firstPort = 20000
+	// testNetworks is how many processes of these tests may run at the same time.
+	testNetworks = 250
+)
+
+// addressesUsed counts the addresses of all tests, so that no two are the same: a port that the kernel chooses is free
+// again once its listener is closed, and may be chosen again for the next address of the same gateway.
+var addressesUsed atomic.Int32
+
+// freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) ident.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		a := fmt.Sprintf("127.42.%d.1:%d", 1+os.Getpid()%testNetworks, firstPort+addressesUsed.Add(1))
+		if l, err := net.Listen("tcp", a); err == nil {
+			_ = l.Close()
+			return ident.Address(a)
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return ident.Address(l.Addr().String())
+	t.Fatal("no free address")
+	return ""
 }
 
 func newTestGateway(t *testing.T, targets int, work time.Duration) *testGateway {
@@ -132,7 +149,14 @@
 	b.stop = cancel
 	t.Cleanup(cancel)
 	go func() { b.done <- g.Run(ctx) }()
-	b.waitUntil(t, "ready", func() bool { return b.readinessStatus() == http.StatusOK })
+	b.waitUntil(t, "ready", func() bool {
+		select {
+		case err := <-b.done:
+			t.Fatalf("gateway %s ended before it was ready: %v", name, err)
+		default:
+		}
+		return b.readinessStatus() == http.StatusOK
+	})
 }
 
 // register writes the registration of a target to the store.
