--- a/connection/listener/listener_test.go
+++ b/connection/listener/listener_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"syscall"
 	"testing"
@@ -249,3 +251,18 @@
 		t.Error("received a datagram after the end")
 	}
 }
+
+// TestCloseOnStopWithoutStatus guards against a caller that isn't told of a planned stop because the handler writes a
+// body without a status.
+func TestCloseOnStopWithoutStatus(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		h := CloseOnStop(func() bool { return stopping })(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "body")
+		}))
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		if closed := w.Result().Header.Get("Connection") == "close"; closed != stopping {
+			t.Errorf("stopping %t: Connection: close %t", stopping, closed)
+		}
+	}
+}
--- a/process/gateway/body.go
+++ b/process/gateway/body.go
@@ -21,9 +21,9 @@
 	bodyTimeout = 30 * time.Second
 	// roomRetryAfter is the retry delay sent with the refusal of a request whose body finds no room.
 	roomRetryAfter = 500 * time.Millisecond
-	// lingerTime is how long the body of a refused request is read and dropped, so that a caller that reads the answer
+	// discardTime is how long the body of a refused request is read and dropped, so that a caller that reads the answer
 	// only once it has sent all of the body gets it.
-	lingerTime = 2 * time.Second
+	discardTime = 2 * time.Second
 )
 
 // readBody reads the body of a request, up to the size limit of the configuration. It returns a reason if it can't.
@@ -89,7 +89,7 @@
 	if a.Reason != outcome.Overload && a.Reason != outcome.TooLarge || r.Header.Get("Expect") != "" {
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.SetReadDeadline(time.Now().Add(discardTime))
 	_, _ = io.Copy(io.Discard, r.Body)
 }
 
--- a/process/gateway/body_test.go
+++ b/process/gateway/body_test.go
@@ -121,13 +121,7 @@
 	r.Header.Set(platform.Headers.TimeRemaining, "20000")
 	// The gateway may refuse the request before it has got all of it.
 	_ = r.Write(c)
-	p, err := http.ReadResponse(bufio.NewReader(c), r)
-	if err != nil {
-		return nil, "", err
-	}
-	defer func() { _ = p.Body.Close() }()
-	a, err := io.ReadAll(p.Body)
-	return p, string(a), err
+	return readAnswer(http.ReadResponse(bufio.NewReader(c), r))
 }
 
 // TestLargeBodies checks that many large bodies at once stay within the memory of the VM, that each request gets one
--- a/process/gateway/gateway_test.go
+++ b/process/gateway/gateway_test.go
@@ -202,7 +202,11 @@
 	r.Host = "h.example"
 	r.Header.Set(platform.Headers.RequestID, id)
 	r.Header.Set(platform.Headers.TimeRemaining, "2000")
-	p, err := http.DefaultClient.Do(r)
+	return readAnswer(http.DefaultClient.Do(r))
+}
+
+// readAnswer reads the body of a response, unless there is an error instead.
+func readAnswer(p *http.Response, err error) (*http.Response, string, error) {
 	if err != nil {
 		return nil, "", err
 	}
