--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -36,6 +36,7 @@
 	folder  string
 	base    int
 	store   *store
+	targets []*target
 	runs    *runs
 
 	mu       sync.Mutex
@@ -167,9 +168,11 @@
 			return err
 		}
 		id, z := fmt.Sprintf("i-%s-%d", service, i+1), machines[i%len(machines)].zone
-		if err := newTarget(id, service, a, z, slots, r.store, r.runs); err != nil {
+		t, err := newTarget(id, service, a, z, slots, r.store, r.runs)
+		if err != nil {
 			return err
 		}
+		r.targets = append(r.targets, t)
 	}
 	return nil
 }
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,13 +62,16 @@
 	store                      *store
 	runs                       *runs
 
+	// loses means that the target loses the answers of a part of the requests that it has run.
+	loses atomic.Bool
+
 	mu               sync.Mutex
 	running, waiting int
 	free             chan struct{}
 }
 
 // newTarget starts a target that registers itself. A request says with the header Work how many milliseconds it takes.
-func newTarget(id, service, address, zone string, slots int, s *store, r *runs) error {
+func newTarget(id, service, address, zone string, slots int, s *store, r *runs) (*target, error) {
 	t := &target{
 		id: id, service: service, address: address, zone: zone, slots: slots, born: time.Now().UnixMilli(), store: s,
 		runs: r,
@@ -74,12 +79,12 @@
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	h := &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
 	go func() { _ = h.Serve(l) }()
 	go t.register()
-	return nil
+	return t, nil
 }
 
 // register writes the entry of the target now and at each heartbeat.
@@ -129,12 +134,32 @@
 		t.runs.finish(x, true)
 		return
 	}
+	if t.loses.Load() && rand.Float64() < lostShare {
+		t.runs.finish(x, false)
+		reset(w)
+		return
+	}
 	w.Header().Set("Amaranthramp-Server-Load", t.load())
 	w.Header().Set("Amaranthramp-Server-Seal", id+"."+t.id)
 	_, _ = io.WriteString(w, "done "+id+"\n")
 	t.runs.finish(x, false)
 }
 
+// lostShare is the share of the answers that a target loses.
+const lostShare = 0.4
+
+// reset resets the connection of an answer.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (t *target) add(running, waiting int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
