--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p build
 go build -o build/review-rig2 ./review/rig2
+go build -o build/review-harness ./review/harness
