One reader that was cut off from the store no longer has all VMs keep targets that left

Cause: a reader whose calls failed for 3 s took that for an outage of the store and kept missing targets for 2.2 s after it; through KeepMs all members did so, although the store had answered another reader all the while.

Ruled out: a late watch.

Change: each VM records the span in which the store has answered any reader without an interruption of 3 s, from its own calls and from digests (ServedMs). The grace period begins with that span, and targets that are retained already are removed once a digest shows that there was no outage.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
@@ -56,8 +55,11 @@
 	// retentionEnds maps each target that was missing from the store right after an outage to the instant until which it
 	// is retained nevertheless.
 	retentionEnds map[string]clock.Instant
-	// graceEnd is the end of the grace period in which targets that expired in an outage can register again.
-	graceEnd clock.Instant
+	// outageGraceEnd is the end of the grace period in which targets that expired in an outage can register again, and
+	// eraGraceEnd that after a change of the era.
+	outageGraceEnd, eraGraceEnd clock.Instant
+	// served is when the store is known to have answered readers.
+	served servedSpan
 	// carried holds what stays out of service although the store's new era does not say so.
 	carried carriedOver
 	// viewPublished is closed and replaced each time a view is published.
@@ -96,21 +98,6 @@
 	return g.viewPublished
 }
 
-// StoreRegained records that the store answers again after an outage. Targets whose registrations expired meanwhile
-// have the given time to register again before they are removed.
-func (g *Catalog) StoreRegained(retain time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.graceEnd = max(g.graceEnd, g.clock.Now().Add(retain))
-}
-
-// RetainFor returns how much longer missing targets are retained.
-func (g *Catalog) RetainFor() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return max(g.graceEnd.Sub(g.clock.Now()), 0)
-}
-
 // Replace replaces the records of a kind by a complete listing; a listing older than the catalog is ignored. A listing
 // without a known position, whose content may be out of date, is used until one with a position arrives.
 func (g *Catalog) Replace(k Kind, records []Record, asOf Position) {
@@ -151,7 +138,7 @@
 		return
 	}
 	clear(g.retentionEnds)
-	g.graceEnd = max(g.graceEnd, now.Add(reregisterGrace))
+	g.eraGraceEnd = max(g.eraGraceEnd, now.Add(reregisterGrace))
 	for name, r := range old {
 		if _, ok := listed[name]; !ok {
 			g.retainMissing(k, r, listed)
@@ -220,10 +207,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	graceEnd := g.graceEnd()
 	n := g.records[Targets]
 	dropped := false
 	for name, end := range g.retentionEnds {
-		if now < end {
+		if now < min(end, graceEnd) {
 			continue
 		}
 		delete(g.retentionEnds, name)
@@ -272,7 +260,8 @@
 
 // retainMissing puts a target that is missing right after an outage back into n, and reports whether it did.
 func (g *Catalog) retainMissing(k Kind, r Record, n map[string]Record) bool {
-	if k != Targets || g.clock.Now() >= g.graceEnd {
+	end := g.graceEnd()
+	if k != Targets || g.clock.Now() >= end {
 		return false
 	}
 	if e, ok := r.Entry.(Registration); !ok || e.Target.Draining {
@@ -280,7 +269,7 @@
 	}
 	n[r.Name] = r
 	if _, ok := g.retentionEnds[r.Name]; !ok {
-		g.retentionEnds[r.Name] = g.graceEnd
+		g.retentionEnds[r.Name] = end
 		g.log.Info().Str("Target", r.Name).
 			Msg("target is missing after a store outage; retained until the grace period ends")
 	}
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -372,6 +372,7 @@
 			f.awaitingFirstAnswer = false
 			if f.catalog.ofOneEra() {
 				f.confirmedAt = now
+				f.catalog.RecordServed(now, now)
 			}
 		}
 		if f.outageStart == 0 {
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -87,7 +88,7 @@
 	_, confirmed := f.follower.Reading()
 	d := &wire.Digest{
 		Member: string(f.self.Name), Address: string(f.self.Address),
-		AgeMs: uint32(min(f.clock.Now().Sub(confirmed).Milliseconds(), 1<<31)), Piece: p,
+		AgeMs: milliseconds(f.clock.Now().Sub(confirmed)), ServedMs: milliseconds(f.catalog.ServedFor(confirmed)), Piece: p,
 	}
 	sums := f.catalog.Checksums()
 	for k := range listedKinds {
@@ -111,6 +112,11 @@
 	return d
 }
 
+// milliseconds returns a duration as a digest holds it.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(d.Milliseconds(), math.MaxInt32))
+}
+
 // receiveDigests handles incoming digests until the socket is closed.
 func (f *Fleet) receiveDigests(u net.PacketConn) {
 	s := &reassembler{}
@@ -168,6 +174,7 @@
 func (f *Fleet) recordReader(d *wire.Digest) clock.Instant {
 	now := f.clock.Now()
 	confirmed := now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond)
+	f.catalog.RecordServed(confirmed.Add(-time.Duration(d.GetServedMs())*time.Millisecond), confirmed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := ident.VM(d.GetMember())
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -27,8 +27,10 @@
 	fleet    *fleet.Fleet
 	catalog  *catalog.Catalog
 	follower *catalog.Follower
-	stop     context.CancelFunc
-	done     chan struct{}
+	// partition is the node's way to the store.
+	partition *partition
+	stop      context.CancelFunc
+	done      chan struct{}
 }
 
 func (n *node) kill() {
@@ -81,7 +83,8 @@
 func (b *testFleet) startAt(t *testing.T, i int, a ident.Address) *node {
 	t.Helper()
 	c := clock.New()
-	s := platform.NewStore(ident.Address(strings.TrimPrefix(b.http.URL, "http://")), b.http.Client(), c)
+	p := &partition{next: b.http.Client().Transport}
+	s := platform.NewStore(ident.Address(strings.TrimPrefix(b.http.URL, "http://")), &http.Client{Transport: p}, c)
 	g := catalog.New(c, zerolog.Nop())
 	f := catalog.NewFollower(g, s, c, zerolog.Nop())
 	m := roster.Member{
@@ -91,7 +94,7 @@
 		m.Capacity = 2
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{address: a, catalog: g, follower: f, stop: cancel, done: make(chan struct{})}
+	n := &node{address: a, catalog: g, follower: f, partition: p, stop: cancel, done: make(chan struct{})}
 	n.fleet = fleet.New(m, 0, b.firstStart, fleet.WarmupRateBound{Factor: 1.5, Slack: 5}, g, f, s, c, zerolog.Nop())
 	go func() {
 		defer close(n.done)
--- a/process/fleet/odd_entry_test.go
+++ b/process/fleet/odd_entry_test.go
@@ -29,6 +29,11 @@
 const goodEntry = `{"address":"10.0.0.9:80","born":%d,"info":{"service":"book","zone":"a","max-concurrency":2},` +
 	`"status":{"state":"ready","warmup-left-ms":0}}`
 
+// putEntry writes the entry of a sound target.
+func putEntry(b *testFleet, id string) {
+	b.store.Put(platform.TargetKind, id, fmt.Sprintf(goodEntry, 1))
+}
+
 // TestOddEntryEndsFollowing checks that the members that read the store follow it beside odd entries, and that the
 // others get through them what is written after: with one odd entry no member learned of a further change of the kind.
 func TestOddEntryEndsFollowing(t *testing.T) {
