Large entries of another writer no longer end processes

Cause: a response of the store above 4 MB was refused as a whole, so that the same watch failed until its history was gone, while the copies of all members were confirmed; entries that can't be decoded were kept with their text and passed on; any number of members fetched them at a time.

Ruled out: the budget of bodies, which holds what callers and targets send; heap and history held the entries.

Change: responses are read object by object, the last change of each object counts, and a watch that can't be read is replaced by a listing; a copy isn't confirmed while a kind can't be read. Entries that can't be decoded are not kept, others without the fields that nobody reads. At most 16 answers to fetches are in memory at a time.

--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -60,6 +60,8 @@
 	outageGraceEnd, eraGraceEnd clock.Instant
 	// served is when the store is known to have answered readers.
 	served servedSpan
+	// odd remembers which objects that can't be decoded are in the log.
+	odd oddLog
 	// carried holds what stays out of service although the store's new era does not say so.
 	carried carriedOver
 	// viewPublished is closed and replaced each time a view is published.
@@ -107,13 +109,11 @@
 		return
 	}
 	old := g.records[k]
-	n := make(map[string]Record, len(records))
-	for _, r := range records {
-		n[r.Name] = r
-	}
+	n, odd := splitOdd(records)
+	g.logOdd(k, odd)
 	if old != nil && asOf.Era == g.asOf[k].Era && g.asOf[k].Known() {
 		g.history[k].addGap(g.asOf[k], asOf)
-		g.update(k, Batch{Changes: g.diff(k, n), AsOf: asOf})
+		g.update(k, Batch{Changes: g.diff(k, n, odd), AsOf: asOf})
 		// A member may have seen a change that was undone before this listing. It learns from the checksum whether it has.
 		g.lastChange[k] = asOf
 		return
@@ -123,7 +123,6 @@
 	}
 	g.log.Info().Str("Kind", k.String()).Int("Records", len(n)).Uint64("AsOf", uint64(asOf.Revision)).
 		Uint64("Era", uint64(asOf.Era)).Msg("listing loaded")
-	g.logOddListed(k, old, n)
 	g.asOf[k], g.lastChange[k] = asOf, asOf
 	g.history[k].reset(asOf)
 	g.setRecords(k, n)
@@ -148,15 +147,21 @@
 
 // diff returns the changes that turn the present records of a kind into the listed ones, both of one era. Retained
 // targets are no records of the store, and their revisions may be those of an earlier era.
-func (g *Catalog) diff(k Kind, listed map[string]Record) []Change {
+func (g *Catalog) diff(k Kind, listed, odd map[string]Record) []Change {
 	var l []Change
+	for name, r := range odd {
+		if _, ok := g.records[k][name]; ok {
+			l = append(l, Change{Record: r})
+		}
+	}
 	for name, r := range listed {
 		if o, ok := g.records[k][name]; !ok || o.Revision != r.Revision || g.isRetained(k, name) {
 			l = append(l, Change{Record: r})
 		}
 	}
 	for name, r := range g.records[k] {
-		if _, ok := listed[name]; !ok && !g.isRetained(k, name) {
+		_, ok := listed[name]
+		if _, isOdd := odd[name]; !ok && !isOdd && !g.isRetained(k, name) {
 			l = append(l, Change{Record: r, Deleted: true})
 		}
 	}
@@ -182,18 +187,25 @@
 	}
 	n := maps.Clone(g.records[k])
 	g.logChanges(k, b.Changes, n)
+	b.Changes = withoutUnknownOdd(b.Changes, n)
+	if len(b.Changes) == 0 {
+		return
+	}
 	for _, c := range b.Changes {
 		g.carried.recordWrite(k, c.Name)
-		if !c.Deleted {
-			g.recordReplaced(k, n[c.Name], c.Record)
-			n[c.Name] = c.Record
-			delete(g.retentionEnds, c.Name)
-			continue
-		}
 		r, ok := n[c.Name]
-		delete(n, c.Name)
-		if ok && !g.retainMissing(k, r, n) {
+		switch {
+		case c.Deleted:
+			delete(n, c.Name)
+			if ok && !g.retainMissing(k, r, n) {
+				g.finishRemoval(k, r)
+			}
+		case isOdd(&c.Record):
+			delete(n, c.Name)
 			g.finishRemoval(k, r)
+		default:
+			n[c.Name] = c.Record
+			delete(g.retentionEnds, c.Name)
 		}
 	}
 	g.lastChange[k] = b.AsOf
@@ -231,13 +243,6 @@
 	}
 }
 
-// recordReplaced remembers a record as removed if its object can't be decoded any longer.
-func (g *Catalog) recordReplaced(k Kind, old, r Record) {
-	if _, odd := r.Entry.(Undecodable); odd {
-		g.finishRemoval(k, old)
-	}
-}
-
 // isRetained reports whether a record is a target that the store no longer has.
 func (g *Catalog) isRetained(k Kind, name string) bool {
 	_, ok := g.retentionEnds[name]
@@ -282,57 +287,31 @@
 // logChanges logs a batch of changes to the given records. The operator's explain command matches the texts of the
 // messages on single records.
 func (g *Catalog) logChanges(k Kind, l []Change, old map[string]Record) {
-	if len(l) > maxLoggedChanges && k != Configurations {
-		removed := 0
-		for _, c := range l {
-			if c.Deleted {
-				removed++
-			}
+	odd := map[string]Record{}
+	removed, written := 0, 0
+	for i := range l {
+		switch c := &l[i]; {
+		case c.Deleted:
+			removed++
+		case isOdd(&c.Record):
+			odd[c.Name] = c.Record
+		default:
+			written++
 		}
-		g.log.Info().Str("Kind", k.String()).Int("Written", len(l)-removed).Int("Removed", removed).
-			Msg("many objects changed")
-		g.logOdd(k, l, old)
+	}
+	g.logOdd(k, odd)
+	if removed+written > maxLoggedChanges && k != Configurations {
+		g.log.Info().Str("Kind", k.String()).Int("Written", written).Int("Removed", removed).Msg("many objects changed")
 		return
 	}
-	for _, c := range l {
-		if c.Deleted {
+	for i := range l {
+		switch c := &l[i]; {
+		case c.Deleted:
 			g.log.Info().Str("Kind", k.String()).Str("Name", loggedName(c.Name)).Msg("object is gone")
-			continue
-		}
-		g.logChange(k, c.Record, old)
-	}
-}
-
-// logOdd logs the objects that can't be decoded among many changes, up to maxLoggedChanges one by one.
-func (g *Catalog) logOdd(k Kind, l []Change, old map[string]Record) {
-	n := 0
-	for _, c := range l {
-		if _, odd := c.Entry.(Undecodable); !odd || c.Deleted || isSameOdd(old[c.Name], c.Record) {
-			continue
-		}
-		if n++; n <= maxLoggedChanges {
+		case !isOdd(&c.Record):
 			g.logChange(k, c.Record, old)
 		}
 	}
-	if n > maxLoggedChanges {
-		g.log.Info().Str("Kind", k.String()).Int("Objects", n).Msg("many objects can't be decoded")
-	}
-}
-
-// logOddListed does the same for a listing that replaces all records.
-func (g *Catalog) logOddListed(k Kind, old, listed map[string]Record) {
-	l := make([]Change, 0, len(listed))
-	for _, r := range listed {
-		l = append(l, Change{Record: r})
-	}
-	g.logOdd(k, l, old)
-}
-
-// isSameOdd reports whether two records are the same state of an object that can't be decoded.
-func isSameOdd(a, b Record) bool {
-	_, oddA := a.Entry.(Undecodable)
-	_, oddB := b.Entry.(Undecodable)
-	return oddA && oddB && a.Revision == b.Revision
 }
 
 // maxLoggedName bounds the length of a name in the log, which another writer may have chosen.
@@ -349,9 +328,6 @@
 // logChange logs a new or changed record.
 func (g *Catalog) logChange(k Kind, r Record, old map[string]Record) {
 	o := old[r.Name]
-	if isSameOdd(o, r) {
-		return
-	}
 	e := g.log.Info().Str("Kind", k.String()).Str("Name", loggedName(r.Name)).Uint64("Revision", uint64(r.Revision))
 	switch v := r.Entry.(type) {
 	case Registration:
@@ -370,8 +346,6 @@
 	case Rollout:
 		e.Str("NewVersion", string(v.NewVersion)).Dur("Duration", v.Duration).Str("State", string(v.Status.State)).
 			Str("Phase", string(v.Status.Phase)).Msg("roll-out changed")
-	case Undecodable:
-		e.Err(v.Err).Msg("object can't be decoded")
 	}
 }
 
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -63,6 +63,8 @@
 	// outageStart is when the store stopped answering; zero while it answers.
 	outageStart         clock.Instant
 	consecutiveFailures int
+	// unreadable is whether no response for the kind has been read since one that could not be read to the end.
+	unreadable [KindCount]bool
 	// awaitingFirstAnswer is true until the store first answers a call for the configurations after Start.
 	awaitingFirstAnswer bool
 	// confirmedAt is when the store last answered a call for the configurations, which shows that the catalog is
@@ -116,7 +118,7 @@
 		return
 	}
 	f.cancel()
-	f.cancel, f.outageStart, f.consecutiveFailures = nil, 0, 0
+	f.cancel, f.outageStart, f.consecutiveFailures, f.unreadable = nil, 0, 0, [KindCount]bool{}
 	f.log.Info().Str("Why", why).Msg("reads the store no longer")
 }
 
@@ -154,8 +156,8 @@
 	}
 }
 
-// resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if it
-// is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
+// resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if
+// it is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
 // Unlike a listing, a watch also shows what has been written and undone since then.
 func (f *Follower) resumeFrom(k Kind, failed Position) Position {
 	_, asOf := f.catalog.Positions()
@@ -192,14 +194,13 @@
 			return Position{}, errEraChanged
 		}
 		records = append(records, p.Records...)
-		if !p.More || len(p.Records) == 0 {
+		if !p.More {
 			break
 		}
-		next := p.Records[len(p.Records)-1].Name
-		if next == after {
+		if p.Last == "" || p.Last == after {
 			return Position{}, errNoProgress
 		}
-		after = next
+		after = p.Last
 	}
 	if leftOut > 0 {
 		f.log.Warn().Str("Kind", k.String()).Int("Objects", leftOut).Msg("listing has objects without a readable name")
@@ -242,8 +243,8 @@
 	return f.source.List(ctx, k, after, s)
 }
 
-// watch applies the changes of a kind until a call fails, and returns the position to resume from; the zero value means
-// that the kind has to be listed again.
+// watch applies the changes of a kind until a call fails, and returns the position to resume from; the zero value
+// means that the kind has to be listed again.
 func (f *Follower) watch(ctx context.Context, k Kind, since Position) Position {
 	wait := watchWait
 	for ctx.Err() == nil {
@@ -267,6 +268,10 @@
 		f.recordResult(ctx, k, err)
 		if err != nil {
 			f.backOff(ctx)
+			if errors.Is(err, ErrUnreadable) {
+				// The same changes would come again, and more of them; the pages of a listing are bounded.
+				return Position{}
+			}
 			return since
 		}
 		f.catalog.Apply(k, b)
@@ -358,8 +363,8 @@
 	}
 }
 
-// recordResult records whether the store answered a call. The first failure also cancels the other watches, which would
-// otherwise go on waiting for a store that no longer responds.
+// recordResult records whether the store answered a call. The first failure also cancels the other watches, which
+// would otherwise go on waiting for a store that no longer responds.
 func (f *Follower) recordResult(ctx context.Context, k Kind, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -367,10 +372,11 @@
 		return
 	}
 	now := f.clock.Now()
+	f.unreadable[k] = errors.Is(err, ErrUnreadable) || err != nil && f.unreadable[k]
 	if err == nil {
 		if k == Configurations {
 			f.awaitingFirstAnswer = false
-			if f.catalog.ofOneEra() {
+			if f.catalog.ofOneEra() && !f.lacksKind() {
 				f.confirmedAt = now
 				f.catalog.RecordServed(now, now)
 			}
@@ -395,6 +401,17 @@
 	}
 }
 
+// lacksKind reports whether the responses for a kind whose changes have to take effect in time can't be read, so that
+// the store's other answers don't show that the catalog is current; the lock must be held.
+func (f *Follower) lacksKind() bool {
+	for k, lacking := range f.unreadable {
+		if lacking && Kind(k) != Members {
+			return true
+		}
+	}
+	return false
+}
+
 // backOff waits after a failed call for a random delay that grows with each further failure.
 func (f *Follower) backOff(ctx context.Context) {
 	f.mu.Lock()
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -15,6 +15,9 @@
 // ErrHistoryGone means that the store no longer has the changes since a revision; the kind must be listed again.
 var ErrHistoryGone = errors.New("catalog: the store no longer has the changes since this revision")
 
+// ErrUnreadable means that the store accepted a call, but its response could not be read to the end.
+var ErrUnreadable = errors.New("catalog: the response of the store can't be read")
+
 // Kind is a kind of objects in the store, each with its own listing and watch.
 type Kind int
 
@@ -56,8 +59,8 @@
 // Membership is the entry of a VM of the system.
 type Membership struct{ Member roster.Member }
 
-// Rollout is an operator's order to move the traffic of a service to targets of a new version, with the status that the
-// system has last written.
+// Rollout is an operator's order to move the traffic of a service to targets of a new version, with the status that
+// the system has last written.
 type Rollout struct {
 	Service    ident.Service
 	NewVersion ident.TargetVersion
@@ -84,7 +87,8 @@
 	Name     string
 	Revision ident.Revision
 	Entry    Entry
-	// Raw is the object as encoded in the store, for sending it to other members.
+	// Raw is the object as encoded in the store, for sending it to other members; empty if it can't be decoded. It may
+	// lack fields that the system doesn't read.
 	Raw []byte
 }
 
@@ -101,13 +105,15 @@
 type Page struct {
 	Records []Record
 	More    bool
+	// Last is the name of the last object, after which the next page begins.
+	Last string
 	// AsOf is the state of the store that the page shows.
 	AsOf Position
 	// LeftOut is the number of objects on the page without a name that can be read.
 	LeftOut int
 }
 
-// Batch holds the changes between two positions of one era; AsOf is the later one.
+// Batch holds the last change of each object between two positions of one era; AsOf is the later one.
 type Batch struct {
 	Changes []Change
 	AsOf    Position
--- a/process/fleet/extra_kinds_test.go
+++ b/process/fleet/extra_kinds_test.go
@@ -137,7 +137,15 @@
 			t.Fatal(err)
 		}
 		m := json.RawMessage(q)
-		a, err := f.handleCall(t.Context(), nil, &jsonrpc2.Request{Method: methodKindNews, Params: &m})
+		build, err := f.prepareAnswer(t.Context(), &jsonrpc2.Request{Method: methodKindNews, Params: &m})
+		if err != nil {
+			return nil, err
+		}
+		u, err := build()
+		if err != nil {
+			return nil, err
+		}
+		a, err := encodeNews(u)
 		if err != nil {
 			return nil, err
 		}
--- a/process/fleet/fetch.go
+++ b/process/fleet/fetch.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,15 +22,16 @@
 // methodNews is the JSON-RPC method that fetches updates from a reader.
 const methodNews = "Fleet.News"
 
-// methodKindNews is the JSON-RPC method that fetches the update of one kind beyond listedKinds. Members of older builds
-// do not have it.
+// methodKindNews is the JSON-RPC method that fetches the update of one kind beyond listedKinds. Members of older
+// builds do not have it.
 const methodKindNews = "Fleet.KindNews"
 
 // fetchTimeout bounds one fetch: if a reader takes longer, the next reader that sends a digest is asked. A reader from
 // which all members fetch a full listing needs seconds, and repeated calls would slow it down further.
 const fetchTimeout = 3 * time.Second
 
-// datagramWait is how long a member that learns of a change from a digest waits for its datagrams before it fetches it.
+// datagramWait is how long a member that learns of a change from a digest waits for its datagrams before it fetches
+// it.
 const datagramWait = 40 * time.Millisecond
 
 // Limits on when a member fetches, and from whom.
@@ -48,71 +48,6 @@
 	failedMemory = 5 * time.Second
 )
 
-// serveFetches answers fetches of other members until the listener is closed.
-func (f *Fleet) serveFetches(ctx context.Context, l net.Listener) {
-	h := jsonrpc2.HandlerWithError(f.handleCall)
-	for {
-		n, err := l.Accept()
-		if err != nil {
-			// The listener goes on after all errors but that it is closed.
-			return
-		}
-		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(n), h)
-	}
-}
-
-func (f *Fleet) handleCall(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	if r.Method == methodKindNews && r.Params != nil {
-		return f.handleKindCall(ctx, *r.Params)
-	}
-	if r.Method != methodNews || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
-	}
-	q := &wire.Since{}
-	if err := protojson.Unmarshal(*r.Params, q); err != nil || len(q.GetAsOf()) != int(listedKinds) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revisions are missing"}
-	}
-	f.waitToCatchUp(ctx, q)
-	f.servedCount.Add(1)
-	n, err := f.updatesSince(q)
-	if err != nil {
-		return nil, err
-	}
-	return encodeNews(n)
-}
-
-// handleKindCall answers a fetch of one kind.
-func (f *Fleet) handleKindCall(ctx context.Context, params json.RawMessage) (any, error) {
-	q := &wire.KindSince{}
-	o := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err := o.Unmarshal(params, q); err != nil || !f.follows(q.GetKind()) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "kind is not followed"}
-	}
-	k := catalog.Kind(q.GetKind())
-	var want [catalog.KindCount]catalog.Position
-	want[k] = catalog.Position{Era: ident.Era(q.GetWantEra()), Revision: ident.Revision(q.GetWant())}
-	f.waitFor(ctx, &want)
-	f.servedCount.Add(1)
-	since := catalog.Position{Era: ident.Era(q.GetEra()), Revision: ident.Revision(q.GetAsOf())}
-	changed, _ := f.catalog.Positions()
-	if !f.catalog.Listed(k) || !since.Before(changed[k]) && since.Known() {
-		return encodeNews(&wire.News{})
-	}
-	b, err := f.updates.get(f.catalog, k, since)
-	if err != nil {
-		return nil, err
-	}
-	return encodeNews(&wire.News{Packed: [][]byte{b}})
-}
-
-func encodeNews(n *wire.News) (any, error) {
-	b, err := protojson.Marshal(n)
-	if err != nil {
-		return nil, fmt.Errorf("encode updates: %w", err)
-	}
-	return json.RawMessage(b), nil
-}
-
 // waitToCatchUp waits until this VM has the changes that another member has heard of, for catchUpWait at most.
 func (f *Fleet) waitToCatchUp(ctx context.Context, q *wire.Since) {
 	if len(q.GetWant()) != int(listedKinds) {
@@ -332,13 +267,13 @@
 		return nil, err
 	}
 	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(n),
-		jsonrpc2.HandlerWithError(h.fleet.handleCall))
+		&updateHandler{fleet: h.fleet})
 	h.conns[a] = c
 	return c, nil
 }
 
-// closeAfterError closes a connection on which a call failed and returns the error of the call; an error of Close would
-// add nothing to it.
+// closeAfterError closes a connection on which a call failed and returns the error of the call; an error of Close
+// would add nothing to it.
 func closeAfterError(c *jsonrpc2.Conn, err error) error {
 	_ = c.Close()
 	return err
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -105,8 +105,10 @@
 
 	// fetchCount counts successful fetches of updates.
 	fetchCount atomic.Uint64
-	// updates caches encoded full listings, which many members fetch.
+	// updates caches encoded full listings, which many members fetch, and answers bounds the answers to fetches that are
+	// in memory.
 	updates updateCache
+	answers chan struct{}
 	// fetchQueue holds the readers from which changes have to be fetched.
 	fetchQueue *ring.Ring[pendingFetch]
 	// relayQueue holds the digests that this VM has to pass on.
@@ -138,7 +140,8 @@
 	readingSince clock.Instant
 	// extraHeardAt is when a reader's digest last covered each kind beyond listedKinds.
 	extraHeardAt [catalog.KindCount]clock.Instant
-	// firstStart is true if the whole system starts for the first time, so that there is nothing to know of other members.
+	// firstStart is true if the whole system starts for the first time, so that there is nothing to know of other
+	// members.
 	firstStart bool
 	// existingFleet is true if the fleet had several members before this VM started.
 	existingFleet bool
@@ -156,6 +159,7 @@
 		handleAllowance: func(*wire.AllowanceMessage, ident.Address) {},
 		handleRollout:   func(*wire.RolloutMessage, ident.Address) {},
 		loads:           noLoads{},
+		answers:         make(chan struct{}, maxAnswers),
 		fetchQueue:      ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
 		readers: map[ident.VM]readerState{},
 	}
@@ -213,8 +217,8 @@
 	return f.fetchCount.Load()
 }
 
-// WarmupSenders returns how many members may start requests at a target in its cold start, or zero if this VM isn't one
-// of them. The rate is the number of requests per second that the target can bear in its cold start.
+// WarmupSenders returns how many members may start requests at a target in its cold start, or zero if this VM isn't
+// one of them. The rate is the number of requests per second that the target can bear in its cold start.
 func (f *Fleet) WarmupSenders(t ident.Target, rate float64) int {
 	return warmupSenders(f.catalog.Get().Members, f.self.Name, t, rate, f.warmupRateBound)
 }
@@ -249,8 +253,8 @@
 }
 
 // readInitialState lists the store, so that a VM that starts in a fleet that existed before can serve requests at once
-// and knows its rank. It accepts stale answers, which have a lower price. At the first start of a fleet no caller waits
-// and there are no members yet, so that the content comes from the first readers.
+// and knows its rank. It accepts stale answers, which have a lower price. At the first start of a fleet no caller
+// waits and there are no members yet, so that the content comes from the first readers.
 func (f *Fleet) readInitialState(ctx context.Context) {
 	if f.firstStart {
 		return
