A request that crashes targets is told apart from the same request of other teams

Cause: the fingerprint had no team, so that an answer to any team ended the suspicion everywhere, and a quarantine refused all teams.

Ruled out: lost reports between members.

Change: the team is part of the fingerprint, also of a request that another VM has sent, after the key's look-up there.

--- a/process/gateway/crash_test.go
+++ b/process/gateway/crash_test.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/standin/objects"
 )
 
 // TestLostAnswersAreNoCrashes checks that a request is not quarantined although two targets break its connections each
@@ -27,8 +31,8 @@
 }
 
 // TestCrashingRequestReachesNoMoreTargets checks that a request that has crashed three targets reaches at most three
-// more from 3 s later on, whichever VM its caller sends it to, also one that has started since, and that other requests
-// are served.
+// more from 3 s later on, whichever VM its caller sends it to, also one that has started since, and that other
+// requests are served.
 func TestCrashingRequestReachesNoMoreTargets(t *testing.T) {
 	const path = "/read/crash"
 	const spreadTime = 3 * time.Second
@@ -73,3 +77,53 @@
 		}
 	}
 }
+
+// TestCrashingRequestOfOneTeam checks the same for a request of one team beside the same request of another team,
+// which targets serve, also at a VM that sends requests through another one. It guards against the answers to the
+// other team ending the suspicion, and against the other team being refused.
+func TestCrashingRequestOfOneTeam(t *testing.T) {
+	const path = "/read/plan"
+	const spreadTime = 3 * time.Second
+	const maxFurther = 3
+	b := &testGateway{store: objects.New(), log: zerolog.Nop()}
+	b.configure(1, tenantsAB)
+	b.startWithTargets(t, 12, time.Millisecond)
+	detouring := b.addGateway(t, "vm-2")
+	detouring.link.useRelays()
+	detouring.link.set(refusesNew)
+	fleet := []*testGateway{b, detouring, b.addGateway(t, "vm-3")}
+	for _, g := range b.targets {
+		g.CrashIf(func(r *http.Request) bool { return r.URL.Path == path && r.Header.Get(teamHeader) == "a" })
+	}
+	crashes := func() (n int64) {
+		for _, g := range b.targets {
+			n += g.Crashes()
+		}
+		return n
+	}
+	send := func(key string) (served int) {
+		for _, g := range fleet {
+			if p, err := g.exchangeRaw(path, []string{authorization(key)}, ""); err == nil && p.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		return served
+	}
+	b.waitUntil(t, "all VMs serve the other team", func() bool { return send(keyOfB) == len(fleet) })
+	for crashes() < 3 {
+		send(keyOfA)
+		send(keyOfB)
+	}
+	for end := time.Now().Add(spreadTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		send(keyOfB)
+	}
+	before := crashes()
+	for range 5 {
+		send(keyOfA)
+		send(keyOfB)
+	}
+	if n := crashes() - before; n > maxFurther {
+		t.Errorf("request crashed %d targets more, %s after it had crashed three, want at most %d", n, spreadTime, maxFurther)
+	}
+	b.waitUntil(t, "all VMs serve the other team", func() bool { return send(keyOfB) == len(fleet) })
+}
--- a/request/relay/detour.go
+++ b/request/relay/detour.go
@@ -17,16 +17,16 @@
 // maxDetours is how many members a request may be sent through, one after the other.
 const maxDetours = 2
 
-// minDetourTime is the time left until the deadline below which a request isn't sent through another VM: that one would
-// not have the time to answer that it has not sent the request.
+// minDetourTime is the time left until the deadline below which a request isn't sent through another VM: that one
+// would not have the time to answer that it has not sent the request.
 const minDetourTime = 2 * minForwardedAnswerTime
 
 // detourAttempt is the attempt number of a call that goes through another VM. With a number above 1 the exchange waits
 // for a late answer, since a member with one slow request looks like one that does not respond.
 const detourAttempt ident.Attempt = 2
 
-// needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or has
-// just found no target that responds, and the request may still be sent to a target.
+// needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or
+// has just found no target that responds, and the request may still be sent to a target.
 func (r *Relay) needsDetour(s *requestState) bool {
 	if s.forwarded || s.noMember || s.call.Deadline.Sub(r.clock.Now()) < minDetourTime || len(s.detours) >= maxDetours {
 		return false
@@ -91,12 +91,13 @@
 		o.LatencyObjective = max(c.Objective.Sub(now), time.Millisecond)
 	}
 	s := &requestState{
-		call: c, fingerprint: quarantine.FingerprintOf(c.Host, c), route: o, service: v, started: now, forwarded: true,
-		hasTeams: t.Teams != nil,
+		call: c, route: o, service: v, started: now, forwarded: true, hasTeams: t.Teams != nil,
 	}
 	if !r.acceptsKey(t, s) {
 		return notRunResponse(outcome.Unreachable)
 	}
+	// The team, which the fingerprint depends on, is known only now.
+	s.fingerprint = quarantine.FingerprintOf(c.Host, c)
 	c.SendBy, s.admission = s.sendBy(), s.newAdmission()
 	a := r.runAttempts(ctx, s)
 	if s.pathFailed && s.arrivals == 0 && a.Outcome == outcome.NotRun {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -110,8 +110,8 @@
 	limit atomic.Value
 	// rejected counts the requests and probes that the target has answered with a pause.
 	rejected atomic.Int64
-	// crashPath is the path of requests that crash the target; empty if none do.
-	crashPath atomic.Value
+	// deadly is a func(*http.Request) bool that tells which requests crash the target, if set.
+	deadly atomic.Value
 	// observe is a func(*http.Request) that gets each request that the target runs, if set.
 	observe atomic.Value
 	crashes atomic.Int64
@@ -163,7 +163,12 @@
 
 // CrashOn makes requests to the path crash the target, which starts again after crashDowntime.
 func (t *Target) CrashOn(path string) {
-	t.crashPath.Store(path)
+	t.CrashIf(func(r *http.Request) bool { return r.URL.Path == path })
+}
+
+// CrashIf makes the requests crash the target for which the function returns true; it must be safe for concurrent use.
+func (t *Target) CrashIf(deadly func(*http.Request) bool) {
+	t.deadly.Store(deadly)
 }
 
 // Observe passes each request that the target runs from now on to f, which must be safe for concurrent use.
@@ -262,7 +267,7 @@
 		t.writeEndless(w, id, e)
 		return
 	}
-	if p, _ := t.crashPath.Load().(string); p != "" && r.URL.Path == p {
+	if deadly, _ := t.deadly.Load().(func(*http.Request) bool); deadly != nil && deadly(r) {
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
