A response without a status from 100 to 599 is no answer, nor is what follows it

What callers saw, by test: the answer behind one with the status 000 as that to their request, and statuses from 600 on.

Cause: every status below 200 was passed over as informational, there was no upper bound, and the parser takes any three characters that are a number. An informational response that names a body was treated as one without.

Ruled out: the writer of answers, which can't write such a status; it never got one below 200.

Change: the status line is checked byte by byte before it is parsed, for targets, other members and health checks. A response that fails breaks the exchange and closes the connection.

--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -31,7 +31,8 @@
 
 // Errors of a response header.
 var (
-	// errNoFinalResponse means that only informational (1xx) responses came, or one that switches protocols.
+	// errNoFinalResponse means that only informational (1xx) responses came, or one that switches protocols or names a
+	// body.
 	errNoFinalResponse = errors.New("exchange: no final response")
 	errMalformedName   = errors.New("exchange: malformed name of a header field")
 )
@@ -75,6 +76,9 @@
 // readHeader reads the header of the final response and skips informational (1xx) responses before it.
 func readHeader(n *pool.Conn, method string) (*http.Response, error) {
 	for range maxInformational + 1 {
+		if err := checkStatusLine(n.Reader); err != nil {
+			return nil, err
+		}
 		if err := checkOldVersion(n.Reader); err != nil {
 			return nil, err
 		}
@@ -88,13 +92,20 @@
 		if p.StatusCode >= http.StatusOK {
 			return p, nil
 		}
-		if p.StatusCode == http.StatusSwitchingProtocols {
+		if p.StatusCode == http.StatusSwitchingProtocols || namesBody(p) {
 			break
 		}
 	}
 	return nil, errNoFinalResponse
 }
 
+// namesBody reports whether an informational response names a body, which it can't have: what follows its head may be
+// meant as that body or as the next response.
+func namesBody(p *http.Response) bool {
+	n := p.Header.Get("Content-Length")
+	return n != "" && n != "0" || len(p.TransferEncoding) > 0
+}
+
 // hasMalformedName reports whether the name of a header field contains a space. The parser lets such fields pass, but
 // takes none of them for a length or a transfer encoding.
 func hasMalformedName(h http.Header) bool {
@@ -121,8 +132,8 @@
 	return a.ReadResponse(p.Body, n)
 }
 
-// hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no body.
-// A response that is delimited by the end of its connection can't be told from a truncated one.
+// hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no
+// body. A response that is delimited by the end of its connection can't be told from a truncated one.
 func hasFraming(p *http.Response) bool {
 	return p.Request.Method == http.MethodHead || p.ContentLength >= 0 || len(p.TransferEncoding) > 0
 }
@@ -183,8 +194,8 @@
 	return outcome.Reset
 }
 
-// reasonOfBodyError returns Truncated for a body that was cut off. An error on this side, such as a timeout or the read
-// limit, keeps its own reason.
+// reasonOfBodyError returns Truncated for a body that was cut off. An error on this side, such as a timeout or the
+// read limit, keeps its own reason.
 func reasonOfBodyError(err error) outcome.Reason {
 	if r := reasonOfIOError(err); r != outcome.Reset {
 		return r
