A planned stop refuses the requests that may last longer than it, and answers each that it has read

What callers saw, by test: a request whose body came late in the grace time was run by a target and broken off with 502; one on a connection accepted before that sent its head late got no answer.

Cause: a request was passed on whatever was left of the grace time, and http.Server.Shutdown drops what is read after it has begun.

Ruled out: the abandonment near the end, which answers all that are in flight.

Keep-alive is turned off and the connections are counted, and Shutdown follows when none is left or the time is up.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/amaranthramp/amaranthramp/process/clock"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
 
@@ -16,6 +18,8 @@
 	// defaultHeaderTimeout and defaultIdleTimeout apply unless the configuration sets other values.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
+	// finishCheckInterval is how often a planned stop checks whether all connections have ended.
+	finishCheckInterval = 10 * time.Millisecond
 )
 
 // callerServer serves callers' connections with the limits of the configuration. An http.Server can't change its
@@ -26,6 +30,8 @@
 	errorLog *log.Logger
 	// requests is the context of all requests.
 	requests func() context.Context
+	// open counts the connections that have not ended.
+	open atomic.Int64
 
 	mu          sync.Mutex
 	limits      route.Limits
@@ -74,7 +80,7 @@
 	s := &http.Server{
 		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
-		BaseContext: func(net.Listener) context.Context { return cs.requests() },
+		BaseContext: func(net.Listener) context.Context { return cs.requests() }, ConnState: cs.countConnection,
 	}
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
@@ -97,6 +103,29 @@
 	return cs.listener.Close()
 }
 
+// countConnection counts the connections that have not ended.
+func (cs *callerServer) countConnection(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		cs.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		cs.open.Add(-1)
+	}
+}
+
+// finish closes the idle connections and waits until the others have ended; close must have been called. A request
+// that is read meanwhile still gets an answer: unlike this, Shutdown of an http.Server drops it and closes the
+// connection.
+func (cs *callerServer) finish(ctx context.Context) {
+	cs.mu.Lock()
+	for _, s := range cs.httpServers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	cs.mu.Unlock()
+	for cs.open.Load() > 0 && clock.Sleep(ctx, finishCheckInterval) {
+	}
+}
+
 // shutdown waits for the requests in flight; close must have been called.
 func (cs *callerServer) shutdown(ctx context.Context) error {
 	cs.mu.Lock()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -50,8 +50,8 @@
 	// memoryLimitShare is the share of the VM's memory that is set as the soft limit of the garbage collector, which runs
 	// more often near it: the heap of a reader of the store grows while many members fetch updates from it at once.
 	memoryLimitShare = 0.45
-	// bodyShare is the share of the VM's memory for all bodies of requests and responses that are held at a time. The soft
-	// limit of the garbage collector leaves room for them beside the rest of the heap.
+	// bodyShare is the share of the VM's memory for all bodies of requests and responses that are held at a time. The
+	// soft limit of the garbage collector leaves room for them beside the rest of the heap.
 	bodyShare = 1.0 / 3
 	// quarantineDeaths is how many targets may die under a request before it is quarantined. A target that loses
 	// responses looks like one that dies, so that two in a row are no proof.
@@ -90,6 +90,9 @@
 	listener atomic.Pointer[listener.Listener]
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
+	// abandonAt is the instant at which a planned stop abandons the last requests; zero until it finishes those in
+	// flight.
+	abandonAt atomic.Int64
 }
 
 // Store is the store of the platform, from which the catalogue is read and to which statuses of roll-outs are written.
@@ -166,7 +169,7 @@
 	}
 	h := &handler{
 		catalog: g.catalog, gate: g.gate, limiter: g.limiter, relay: g.relay, headers: g.headers, bodies: g.bodies,
-		clock: g.clock, ages: caller.NewAges(), metrics: g.metrics, log: g.log,
+		clock: g.clock, ages: caller.NewAges(), endsTooLate: g.endsTooLate, metrics: g.metrics, log: g.log,
 	}
 	callers, err := g.listenForCallers(h)
 	if err != nil {
--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -32,11 +32,13 @@
 	limiter *allowance.Limiter
 	relay   *relay.Relay
 	ages    *caller.Ages
-	headers *exchange.Headers
-	bodies  *exchange.BodyBudget
-	clock   clock.Clock
-	metrics *metrics
-	log     zerolog.Logger
+	// endsTooLate reports whether a request with a deadline and a time limit may last longer than a planned stop.
+	endsTooLate func(clock.Instant, time.Duration) bool
+	headers     *exchange.Headers
+	bodies      *exchange.BodyBudget
+	clock       clock.Clock
+	metrics     *metrics
+	log         zerolog.Logger
 }
 
 // ServeHTTP forwards one request to a target, or refuses it.
@@ -68,6 +70,12 @@
 	}
 	c := h.newCall(r, t, b)
 	c.Bodies = l
+	if h.endsTooLate(c.Deadline, o.Timeout) {
+		a := call.NotRun(outcome.Stopping)
+		a.RetryAfter = stopRetryAfter
+		h.refuse(w, r, a, "the VM stops before the request may end")
+		return
+	}
 	identify(c, k, m, o)
 	if c.Deadline != 0 {
 		now := h.clock.Now()
@@ -150,7 +158,8 @@
 	return c
 }
 
-// requestID returns the request ID that the caller sent, or a random one if there is none, since targets require an ID.
+// requestID returns the request ID that the caller sent, or a random one if there is none, since targets require an
+// ID.
 func (h *handler) requestID(d http.Header) ident.Request {
 	if id := d.Get(h.headers.RequestID); id != "" {
 		return ident.Request(id)
@@ -192,8 +201,8 @@
 	writeBody(w, a.Body)
 }
 
-// startupRetryAfter is the retry delay that a VM sends to callers before it has read a configuration: reading the store
-// after a start takes about this long.
+// startupRetryAfter is the retry delay that a VM sends to callers before it has read a configuration: reading the
+// store after a start takes about this long.
 const startupRetryAfter = 200 * time.Millisecond
 
 // unavailable returns an answer that tells the caller to retry after startupRetryAfter.
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -42,14 +42,13 @@
 // writeRead sends a safe request with an id and the given time left; the answer repeats the id.
 func writeRead(t *testing.T, n net.Conn, id string, left time.Duration) {
 	t.Helper()
-	if _, err := fmt.Fprintf(n, "GET /read/1 HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n\r\n",
-		platform.Headers.RequestID, id, platform.Headers.TimeRemaining, left.Milliseconds()); err != nil {
+	if _, err := io.WriteString(n, readWithTime(id, left)); err != nil {
 		t.Fatal(err)
 	}
 }
 
-// TestStopLosesEndOfAnswer guards against a planned stop that resets the connection of a caller with pipelined requests
-// before the last answer has arrived.
+// TestStopLosesEndOfAnswer guards against a planned stop that resets the connection of a caller with pipelined
+// requests before the last answer has arrived.
 func TestStopLosesEndOfAnswer(t *testing.T) {
 	b := newTestGateway(t, 3, 300*time.Millisecond)
 	n := b.dialSlowReader(t)
@@ -144,3 +143,67 @@
 		t.Errorf("response %v, error %v, want 200 and Connection: close", p, err)
 	}
 }
+
+// TestStopRefusesLateRequests guards against a request that came late in the grace time of a planned stop, was passed
+// on to a target, and was broken off at the end, or whose connection was closed without an answer: a request that can
+// last longer than the stop is refused at once, and one that can't is served.
+func TestStopRefusesLateRequests(t *testing.T) {
+	const work = 1200 * time.Millisecond
+	rows := []struct {
+		id, head, rest string
+		status         int
+	}{
+		{"late-read", "", readWithTime("late-read", 5*time.Second), http.StatusServiceUnavailable},
+		{"late-claim", "", claimWithBody("late-claim"), http.StatusServiceUnavailable},
+		{"late-body", claimWithBody("late-body")[:len(claimWithBody("late-body"))-1], "x", http.StatusServiceUnavailable},
+		{"late-short", "", readWithTime("late-short", 300*time.Millisecond), http.StatusGatewayTimeout},
+	}
+	b := newTestGateway(t, 4, work)
+	b.stop()
+	time.Sleep(b.settings.Grace/2 - 100*time.Millisecond)
+	var connections []net.Conn
+	write := func(n net.Conn, text string) {
+		if _, err := io.WriteString(n, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, r := range rows {
+		n, err := net.Dial("tcp", string(b.settings.CallerAddress))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = n.Close() }()
+		connections = append(connections, n)
+		write(n, r.head)
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	for i, r := range rows {
+		write(connections[i], r.rest)
+	}
+	for i, r := range rows {
+		p, err := http.ReadResponse(bufio.NewReader(connections[i]), nil)
+		if err != nil {
+			t.Errorf("%s: no answer: %v", r.id, err)
+			continue
+		}
+		took, ran := time.Since(began), len(b.runLog.Runs(r.id)) > 0
+		if refused := r.status == http.StatusServiceUnavailable; p.StatusCode != r.status || !p.Close || ran == refused ||
+			refused && (took > 200*time.Millisecond || p.Header.Get("Retry-After") == "") {
+			t.Errorf("%s: status %d after %s, ran %t, Retry-After %q, want status %d", r.id, p.StatusCode, took, ran,
+				p.Header.Get("Retry-After"), r.status)
+		}
+	}
+}
+
+// claimWithBody returns a request that may run only once, with a body of one byte.
+func claimWithBody(id string) string {
+	return fmt.Sprintf("POST /claim/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n%s: %s\r\n\r\nx",
+		platform.Headers.RequestID, id)
+}
+
+// readWithTime returns a safe request with an id and the given time left.
+func readWithTime(id string, left time.Duration) string {
+	return fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n\r\n",
+		platform.Headers.RequestID, id, platform.Headers.TimeRemaining, left.Milliseconds())
+}
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -73,6 +73,8 @@
 	NoKeeper Reason = "no-keeper"
 	// BadRequest means that the request could not be read or is invalid.
 	BadRequest Reason = "bad-request"
+	// Stopping means that this VM stops before the request may end.
+	Stopping Reason = "stopping"
 	// InternalError means that handling the request failed by a fault of the program.
 	InternalError Reason = "internal-error"
 )
@@ -94,8 +96,8 @@
 // Broken means that at least part of the request was written, but no complete and valid response was received.
 type Broken struct{ Reason Reason }
 
-// OwnerUnresponsive means that the request was forwarded to the member that owns its shard, and no complete response of
-// that member was received. The request may have run.
+// OwnerUnresponsive means that the request was forwarded to the member that owns its shard, and no complete response
+// of that member was received. The request may have run.
 type OwnerUnresponsive struct{ Reason Reason }
 
 // Rejected means that the request was rejected before it was written to an upstream, and that a retry elsewhere would
