OPTIONS * is refused like each request that follows no route

Cause: http.Server answers OPTIONS * itself, before the handler.

Change: DisableGeneralOptionsHandler; the handler finds no route and answers 404.

Result: TestOptionsOfServer fails without the change ("200 OK", want 404) and passes.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -81,6 +81,8 @@
 		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
 		BaseContext: func(net.Listener) context.Context { return cs.requests() }, ConnState: cs.countConnection,
+		// net/http would answer OPTIONS * itself, as if a target had.
+		DisableGeneralOptionsHandler: true,
 	}
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
