The path of a request is passed on and matched as its caller wrote it

Cause: net/url makes the path anew from its decoded form if it holds a character that should be escaped, so that %2F becomes a slash; the route was found by that path, and targets and other VMs got it.

Change: call.PathOf reads the path from the request line, in gateways, between VMs and in entry processes, and it is written unchanged. A prefix is matched as the configuration has it and as callers escape it.

--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -165,9 +165,9 @@
 	}
 }
 
-// TestStalledConnectionAlone checks that a request on a stalled connection is aborted while there is still time to send
-// it elsewhere, also when no other request is in flight, and that the idle connections opened together with the stalled
-// one are closed, since whatever stalled one may have stalled them all.
+// TestStalledConnectionAlone checks that a request on a stalled connection is aborted while there is still time to
+// send it elsewhere, also when no other request is in flight, and that the idle connections opened together with the
+// stalled one are closed, since whatever stalled one may have stalled them all.
 func TestStalledConnectionAlone(t *testing.T) {
 	x := stalledExchanger(t)
 	c := longCall()
@@ -253,8 +253,8 @@
 	}
 }
 
-// TestUnresponsiveAddress checks that an address that accepts connections and never responds, as a paused process does,
-// delays only one request, and is used again once it responds.
+// TestUnresponsiveAddress checks that an address that accepts connections and never responds, as a paused process
+// does, delays only one request, and is used again once it responds.
 func TestUnresponsiveAddress(t *testing.T) {
 	var unresponsive atomic.Bool
 	unresponsive.Store(true)
@@ -287,3 +287,21 @@
 		}
 	}
 }
+
+// TestPathIsWrittenUnchanged guards against a request that a member or an upstream gets with another path: one with a
+// character that should be escaped was written with other escapes, or with a slash in place of an escaped one.
+func TestPathIsWrittenUnchanged(t *testing.T) {
+	for _, path := range []string{"/a%2Fb|c?d|=%2F", "/nõ/%7c", "//a/b%2F|", "/"} {
+		var got string
+		u := listen(t, func(c net.Conn, r *http.Request) bool {
+			got = call.PathOf(r)
+			return respondComplete(c, r)
+		})
+		k := newCall(true)
+		k.Path, k.Host = path, "h.example"
+		if r := u.exchanger(clock.New()).Do(context.Background(), k, http.Header{}, noReason); r.Event !=
+			(outcome.Completed{}) || got != path {
+			t.Errorf("path %q arrived as %q, event %#v", path, got, r.Event)
+		}
+	}
+}
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -152,16 +152,14 @@
 // newRequest builds the request without its deadline header. Each attempt gets a new exchange id, even when the caller
 // reuses the request id.
 func newRequest(c *call.Call, h http.Header) (*http.Request, error) {
-	u, err := url.ParseRequestURI(c.Path)
-	if err != nil {
+	if _, err := url.ParseRequestURI(c.Path); err != nil {
 		return nil, fmt.Errorf("parse path: %w", err)
 	}
 	r, err := http.NewRequest(c.Method, "/", bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
-	u.Scheme, u.Host = "http", c.Host
-	r.URL = u
+	r.URL = unchangedURL(c)
 	r.Host = c.Host
 	r.Header = h
 	r.Header.Set(call.HeaderRequestID, string(c.ID))
@@ -170,6 +168,16 @@
 	return r, nil
 }
 
+// unchangedURL returns the URL with which the path of a call is written as it is. One that begins with two slashes is
+// written in absolute form, since it would be taken for the name of a host.
+func unchangedURL(c *call.Call) *url.URL {
+	u := &url.URL{Scheme: "http", Host: c.Host, Opaque: c.Path}
+	if strings.HasPrefix(c.Path, "//") {
+		u.Opaque = "http://" + c.Host + c.Path
+	}
+	return u
+}
+
 func setDeadline(h http.Header, left time.Duration) {
 	h.Set(call.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 }
--- a/connection/peer/header.go
+++ b/connection/peer/header.go
@@ -89,7 +89,7 @@
 		Key:        ident.Key(h.Get(call.HeaderKey)),
 		Deadline:   now.Add(time.Duration(atoi(h.Get(call.HeaderDeadline))) * time.Millisecond),
 		Method:     r.Method,
-		Path:       r.URL.RequestURI(),
+		Path:       call.PathOf(r),
 		Host:       r.Host,
 		Body:       body,
 	}
--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,7 +50,8 @@
 		h.refuse(w, r, unavailable(outcome.NoService, http.StatusServiceUnavailable), "no configuration read yet")
 		return
 	}
-	o, ok := t.Find(r.Host, r.URL.EscapedPath())
+	path, _, _ := strings.Cut(call.PathOf(r), "?")
+	o, ok := t.Find(r.Host, path)
 	if !ok {
 		h.refuse(w, r, call.Rejected(outcome.NoService, http.StatusNotFound), "no route matches the request")
 		return
@@ -146,7 +148,7 @@
 func (h *handler) newCall(r *http.Request, t *route.Table, b []byte) *call.Call {
 	d := r.Header.Clone()
 	c := &call.Call{
-		ID: h.requestID(d), Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Header: d, Body: b,
+		ID: h.requestID(d), Method: r.Method, Path: call.PathOf(r), Host: r.Host, Header: d, Body: b,
 	}
 	if n := h.timeRemaining(d); n > 0 {
 		c.Deadline = h.clock.Now().Add(n)
--- a/request/caller/caller.go
+++ b/request/caller/caller.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/connection/peer"
@@ -69,7 +70,8 @@
 	if !ok {
 		return nil, outcome.NoService
 	}
-	k, ok := s.MatchClass(r.Method, r.URL.Path)
+	path, _, _ := strings.Cut(call.PathOf(r), "?")
+	k, ok := s.MatchClass(r.Method, path)
 	if !ok {
 		return nil, outcome.NoClass
 	}
@@ -95,7 +97,7 @@
 		Key:        ident.Key(d.Get(call.HeaderKey)),
 		Deadline:   h.clock.Now().Add(timeLimit(d, time.Duration(k.Deadline))),
 		Method:     r.Method,
-		Path:       r.URL.RequestURI(),
+		Path:       call.PathOf(r),
 		Host:       r.Host,
 		Body:       b,
 	}
--- a/request/relay/detour.go
+++ b/request/relay/detour.go
@@ -84,7 +84,7 @@
 		Name: ident.Route(c.Class), Host: c.Host, Idempotent: c.Idempotent, MaxAttempts: max(c.MaxAttempts, 1),
 		Priority: c.Priority,
 	}
-	if known, ok := t.Find(c.Host, c.Path); ok {
+	if known, ok := t.Find(c.Host, c.RoutePath()); ok {
 		o.Priority = known.Priority
 	}
 	if c.Objective != 0 {
--- a/request/relay/key.go
+++ b/request/relay/key.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"net/url"
-
 	"github.com/amaranthramp/amaranthramp/request/access"
 	"github.com/amaranthramp/amaranthramp/request/outcome"
 	"github.com/amaranthramp/amaranthramp/version/route"
@@ -45,11 +43,7 @@
 }
 
 func findRoute(t *route.Table, s *requestState) (*route.Route, bool) {
-	u, err := url.ParseRequestURI(s.call.Path)
-	if err != nil {
-		return nil, false
-	}
-	return t.Find(s.call.Host, u.EscapedPath())
+	return t.Find(s.call.Host, s.call.RoutePath())
 }
 
 // acceptsKey checks the API key of a call that another VM has sent here, and sets the team and the priority of the
--- a/version/route/route_test.go
+++ b/version/route/route_test.go
@@ -44,6 +44,9 @@
 		{"escaped slash", "a.example", "/x/y%2F1", "all"},
 		{"escape in the prefix", "c.example", "/n%C3%B5/1", "escape"},
 		{"letter in the prefix that callers escape", "d.example", "/n%C3%B5/1", "letter"},
+		{"letter in the prefix that callers do not escape", "d.example", "/nõ/1|", "letter"},
+		{"escaped slash beside an unescaped character", "a.example", "/x/y%2F1|", "all"},
+		{"only escaped slashes", "a.example", "/x%2Fy%2F1|", ""},
 		{"unknown host", "e.example", "/x/", ""},
 	}
 	for _, r := range rows {
--- a/version/route/table.go
+++ b/version/route/table.go
@@ -21,13 +21,20 @@
 	// Teams is nil if the configuration has no teams. It must not be set once the table is in use.
 	Teams *team.Directory
 
-	// byHost maps a lower-case host name to its routes, the longest prefix first.
-	byHost map[string][]Route
+	// byHost maps a lower-case host name to the prefixes of its routes, the longest first, and routes counts the routes.
+	byHost map[string][]prefix
+	routes int
+}
+
+// prefix is the beginning of the paths of a route, as the configuration has it or as callers escape it.
+type prefix struct {
+	text  string
+	route *Route
 }
 
 // New returns a table; its error lists every invalid route.
 func New(v ident.Version, l Limits, services []Service, routes []Route) (*Table, error) {
-	t := &Table{Version: v, Limits: l, Services: map[ident.Service]Service{}, byHost: map[string][]Route{}}
+	t := &Table{Version: v, Limits: l, Services: map[ident.Service]Service{}, byHost: map[string][]prefix{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -37,12 +44,15 @@
 			errs = append(errs, err)
 			continue
 		}
-		r.Prefix = escaped(r.Prefix)
+		t.routes++
 		h := strings.ToLower(r.Host)
-		t.byHost[h] = append(t.byHost[h], r)
+		t.byHost[h] = append(t.byHost[h], prefix{text: r.Prefix, route: &r})
+		if e := escaped(r.Prefix); e != r.Prefix {
+			t.byHost[h] = append(t.byHost[h], prefix{text: e, route: &r})
+		}
 	}
 	for _, l := range t.byHost {
-		slices.SortFunc(l, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(l, func(a, b prefix) int { return cmp.Compare(len(b.text), len(a.text)) })
 	}
 	return t, errors.Join(errs...)
 }
@@ -65,7 +75,7 @@
 	return nil
 }
 
-// escaped returns a prefix as callers write it in a request line.
+// escaped returns a prefix as callers write it in a request line if they escape what has to be.
 func escaped(prefix string) string {
 	if u, err := url.ParseRequestURI(prefix); err == nil && u.RawQuery == "" {
 		return u.EscapedPath()
@@ -73,13 +83,12 @@
 	return prefix
 }
 
-// Find returns the route of the host with the longest prefix that begins the path. The path is compared with its
-// escapes, as targets get it: an escaped slash ends no prefix.
+// Find returns the route of the host with the longest prefix that begins the path. The path is compared as the caller
+// wrote it, which is how targets get it: an escaped slash ends no prefix.
 func (t *Table) Find(host, path string) (*Route, bool) {
-	l := t.byHost[hostName(host)]
-	for i := range l {
-		if strings.HasPrefix(path, l[i].Prefix) {
-			return &l[i], true
+	for _, p := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, p.text) {
+			return p.route, true
 		}
 	}
 	return nil, false
@@ -87,11 +96,7 @@
 
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
-	n := 0
-	for _, l := range t.byHost {
-		n += len(l)
-	}
-	return n
+	return t.routes
 }
 
 // hostName removes the port from a Host header and converts it to lower case.
