The HTTP server of earlier limits ends with its last connection

What callers saw: nothing yet.

Cause: callerServer kept all servers for the planned stop.

Change: connections are counted for each server. One that is no longer current takes no more connections and is dropped with its last one; a connection that crosses the change goes to the current one.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -4,10 +4,11 @@
 	"context"
 	"errors"
 	"log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -30,21 +31,29 @@
 	errorLog *log.Logger
 	// requests is the context of all requests.
 	requests func() context.Context
-	// open counts the connections that have not ended.
-	open atomic.Int64
-
-	mu          sync.Mutex
-	limits      route.Limits
-	httpServers []*http.Server
-	// current passes accepted connections to the newest of httpServers.
-	current *handoffListener
+
+	mu     sync.Mutex
+	limits route.Limits
+	// servers are the current server and those that still have connections.
+	servers map[*limitedServer]struct{}
+	current *limitedServer
 	closed  bool
 }
 
+// limitedServer serves the connections that were accepted under the same limits.
+type limitedServer struct {
+	*http.Server
+	accepted *handoffListener
+	// open counts the connections that have not ended; the lock of the callerServer must be held.
+	open int
+}
+
 func newCallerServer(
 	l net.Listener, h http.Handler, e *log.Logger, requests func() context.Context,
 ) *callerServer {
-	cs := &callerServer{listener: l, handler: h, errorLog: e, requests: requests}
+	cs := &callerServer{
+		listener: l, handler: h, errorLog: e, requests: requests, servers: map[*limitedServer]struct{}{},
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.startServer(route.Limits{})
@@ -58,10 +67,26 @@
 		if err != nil {
 			return err
 		}
+		cs.deliver(c)
+	}
+}
+
+// deliver passes a connection to the current HTTP server. Once that has been shut down, it closes the connection: the
+// caller retries at another VM.
+func (cs *callerServer) deliver(c net.Conn) {
+	for {
 		cs.mu.Lock()
-		h := cs.current
+		s, closed := cs.current, cs.closed
+		s.open++
 		cs.mu.Unlock()
-		h.deliver(c)
+		if s.accepted.deliver(c) {
+			return
+		}
+		cs.countEnd(s)
+		if closed {
+			_ = c.Close()
+			return
+		}
 	}
 }
 
@@ -77,12 +102,17 @@
 
 // startServer starts an HTTP server with the limits and makes it the current one; the lock must be held.
 func (cs *callerServer) startServer(l route.Limits) {
-	s := &http.Server{
+	s := &limitedServer{Server: &http.Server{
 		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
-		BaseContext: func(net.Listener) context.Context { return cs.requests() }, ConnState: cs.countConnection,
+		BaseContext: func(net.Listener) context.Context { return cs.requests() },
 		// net/http would answer OPTIONS * itself, as if a target had.
 		DisableGeneralOptionsHandler: true,
+	}}
+	s.ConnState = func(_ net.Conn, n http.ConnState) {
+		if n == http.StateClosed || n == http.StateHijacked {
+			cs.countEnd(s)
+		}
 	}
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
@@ -90,11 +120,31 @@
 	if l.IdleTimeout > 0 {
 		s.IdleTimeout = l.IdleTimeout
 	}
-	h := &handoffListener{conns: make(chan net.Conn), done: make(chan struct{}), address: cs.listener.Addr()}
-	cs.limits, cs.current = l, h
-	cs.httpServers = append(cs.httpServers, s)
-	// Serve returns only at a planned stop, with the error of a closed listener.
-	go func() { _ = s.Serve(h) }()
+	s.accepted = &handoffListener{conns: make(chan net.Conn), done: make(chan struct{}), address: cs.listener.Addr()}
+	old := cs.current
+	cs.limits, cs.current = l, s
+	cs.servers[s] = struct{}{}
+	if old != nil {
+		_ = old.accepted.Close()
+		cs.forget(old)
+	}
+	// Serve returns once the limits change or a planned stop ends, with the error of a closed listener.
+	go func() { _ = s.Serve(s.accepted) }()
+}
+
+// countEnd counts the end of a connection.
+func (cs *callerServer) countEnd(s *limitedServer) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	s.open--
+	cs.forget(s)
+}
+
+// forget drops a server that gets no more connections and has none; the lock must be held.
+func (cs *callerServer) forget(s *limitedServer) {
+	if s != cs.current && s.open == 0 {
+		delete(cs.servers, s)
+	}
 }
 
 // close stops accepting connections.
@@ -105,38 +155,41 @@
 	return cs.listener.Close()
 }
 
-// countConnection counts the connections that have not ended.
-func (cs *callerServer) countConnection(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		cs.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		cs.open.Add(-1)
-	}
-}
-
 // finish closes the idle connections and waits until the others have ended; close must have been called. A request
 // that is read meanwhile still gets an answer: unlike this, Shutdown of an http.Server drops it and closes the
 // connection.
 func (cs *callerServer) finish(ctx context.Context) {
-	cs.mu.Lock()
-	for _, s := range cs.httpServers {
+	for _, s := range cs.remaining() {
 		s.SetKeepAlivesEnabled(false)
 	}
-	cs.mu.Unlock()
-	for cs.open.Load() > 0 && clock.Sleep(ctx, finishCheckInterval) {
+	for cs.openConnections() > 0 && clock.Sleep(ctx, finishCheckInterval) {
+	}
+}
+
+// remaining returns the servers that have not ended.
+func (cs *callerServer) remaining() []*limitedServer {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return slices.Collect(maps.Keys(cs.servers))
+}
+
+// openConnections returns how many connections have not ended.
+func (cs *callerServer) openConnections() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	n := 0
+	for s := range cs.servers {
+		n += s.open
 	}
+	return n
 }
 
 // shutdown waits for the requests in flight; close must have been called.
 func (cs *callerServer) shutdown(ctx context.Context) error {
-	cs.mu.Lock()
-	l := cs.httpServers
-	cs.mu.Unlock()
 	var errs []error
 	var w sync.WaitGroup
 	var mu sync.Mutex
-	for _, s := range l {
+	for _, s := range cs.remaining() {
 		w.Go(func() {
 			err := s.Shutdown(ctx)
 			mu.Lock()
@@ -156,13 +209,13 @@
 	address net.Addr
 }
 
-// deliver passes a connection to Accept, or closes it if the listener is closed.
-func (h *handoffListener) deliver(c net.Conn) {
+// deliver passes a connection to Accept, or reports false if the listener is closed.
+func (h *handoffListener) deliver(c net.Conn) bool {
 	select {
 	case h.conns <- c:
+		return true
 	case <-h.done:
-		// The server has been shut down; the caller retries at another VM.
-		_ = c.Close()
+		return false
 	}
 }
 
--- a/process/gateway/caller_server_test.go
+++ b/process/gateway/caller_server_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
 
@@ -82,3 +83,48 @@
 		t.Error(err)
 	}
 }
+
+// TestManyLimits checks that each connection is served while the limits change all the time, and that only the server
+// of the limits in force remains: each configuration with other limits left one behind.
+func TestManyLimits(t *testing.T) {
+	const changes = 500
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cs := newCallerServer(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		log.New(io.Discard, "", 0), context.Background)
+	go func() { _ = cs.serve() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range changes {
+			cs.setLimits(route.Limits{IdleTimeout: time.Minute, HeaderBytes: ident.Bytes(1000 + i)})
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	kept := dialAndSend(t, cs, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+		default:
+			c := dialAndSend(t, cs, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			if _, got := openTime(t, c); !strings.Contains(got, "200 OK") {
+				t.Fatalf("connection %d got %q while the limits changed, want 200 OK", n, got)
+			}
+			continue
+		}
+		break
+	}
+	count := func() int { return len(cs.remaining()) }
+	if n := count(); n > 2 {
+		t.Errorf("%d servers with one connection open from before, want at most 2", n)
+	}
+	_ = kept.Close()
+	for end := time.Now().Add(2 * time.Second); count() > 1 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n, open := count(), cs.openConnections(); n != 1 || open != 0 {
+		t.Errorf("%d servers and %d connections after all have ended, want 1 and 0", n, open)
+	}
+}
