Members do not wait behind VMs that are gone when the readers get no answer from the store

Cause: registrations of removed VMs hold most of the first ranks, by which members take turns of 2 s in checking the store.

Ruled out: the time to read and to pass on; the first member whose turn comes has the version at once.

Change: readers ask by a flag in a digest which members run, and name the silent ones, a bit for each rank. Members count their rank among those that run.

--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -108,6 +108,7 @@
 	if p == nil {
 		d.Load = f.loads.Summary()
 		f.loads.Follow(d.GetLoad())
+		f.describePresence(d)
 	}
 	return d
 }
@@ -216,8 +217,8 @@
 	return ident.Era(l[k])
 }
 
-// hasEras reports whether this VM has each kind of a digest in the digest's era. A reader that has not noticed yet that
-// the store came back from an older copy can't confirm the copy of a member that has.
+// hasEras reports whether this VM has each kind of a digest in the digest's era. A reader that has not noticed yet
+// that the store came back from an older copy can't confirm the copy of a member that has.
 func (f *Fleet) hasEras(p *pendingFetch) bool {
 	_, asOf := f.catalog.Positions()
 	for k := range catalog.KindCount {
@@ -239,6 +240,7 @@
 		f.catalog.ApplyDigest(k, p.changed[k], d.GetSums()[k], asOf)
 	}
 	f.applyExtra(d, &p)
+	f.followPresence(d, reader, p.changed[catalog.Members])
 	f.mu.Lock()
 	f.heard = append(f.heard[max(len(f.heard)-maxHeard+1, 0):], p)
 	if f.behindSince == 0 {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -119,6 +119,8 @@
 	mu      sync.Mutex
 	conn    *net.UDPConn
 	readers map[ident.VM]readerState
+	// presence is what is known of which members run.
+	presence presence
 	// pushState holds the revisions up to which updates have been sent to the members.
 	pushState pushState
 	// heard holds the latest digests of readers, oldest first.
@@ -161,7 +163,7 @@
 		loads:           noLoads{},
 		answers:         make(chan struct{}, maxAnswers),
 		fetchQueue:      ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
-		readers: map[ident.VM]readerState{},
+		readers: map[ident.VM]readerState{}, presence: newPresence(),
 	}
 }
 
--- a/process/fleet/message.go
+++ b/process/fleet/message.go
@@ -9,8 +9,8 @@
 	"github.com/amaranthramp/amaranthramp/wire"
 )
 
-// HandleReach sets the function that gets the messages on partitions from targets, with the address of their sender. It
-// must be called before Run.
+// HandleReach sets the function that gets the messages on partitions from targets, with the address of their sender.
+// It must be called before Run.
 func (f *Fleet) HandleReach(h func(*wire.ReachNews, ident.Address)) {
 	f.handleReach = h
 }
@@ -52,6 +52,8 @@
 		f.handleReach(d.GetReach(), from)
 	case d.GetAllowance() != nil:
 		f.handleAllowance(d.GetAllowance(), from)
+	case d.GetPresent():
+		f.handlePresent(ident.VM(d.GetMember()))
 	case d.GetLoad() != nil && len(d.GetChanged()) == 0:
 		f.loads.Add(d.GetLoad(), from)
 	case d.GetRollout() != nil:
--- a/process/fleet/reader.go
+++ b/process/fleet/reader.go
@@ -44,6 +44,7 @@
 	}
 	s.existingFleet, s.shortageSince, s.behindSince = f.existingFleet, f.shortageSince, f.behindSince
 	s.newestConfirmation, s.hasActiveReader = f.newestConfirmation(now)
+	s.silentBefore, s.silent = f.presence.countSilent(t, s.rank)
 	return s.reasonToRead()
 }
 
--- a/process/fleet/reader_situation.go
+++ b/process/fleet/reader_situation.go
@@ -15,6 +15,8 @@
 	// rank is the member's rank among all members. existingFleet means that there were several before it started.
 	rank, members int
 	existingFleet bool
+	// silentBefore is the number of members of lower rank that do not run as far as is known, and silent that of all.
+	silentBefore, silent int
 	// freshReaders is the number of active readers whose copy the store has confirmed lately.
 	freshReaders int
 	// hasActiveReader is whether any reader is active, and newestConfirmation when the store last confirmed one's copy.
@@ -29,12 +31,11 @@
 	hash     float64
 }
 
-// reasonToRead returns why the member has to read the store, or "" if it need not. The rules keep the number of readers
-// small in each of these situations:
-//   - The whole fleet starts, for the first time or again: no member hears from a reader yet.
-//   - All readers fail at once: their members' copies become stale together.
-//   - Many objects change at once: a large fleet needs a moment to fetch the changes.
-//   - The store comes back after an outage: the copies of all members are stale and lack its changes.
+// reasonToRead returns why the member has to read the store, or "" if it need not. The rules keep the number of
+// readers small in each of these situations:   - The whole fleet starts, for the first time or again: no member hears
+// from a reader yet.   - All readers fail at once: their members' copies become stale together.   - Many objects
+// change at once: a large fleet needs a moment to fetch the changes.   - The store comes back after an outage: the
+// copies of all members are stale and lack its changes.
 func (s *readerSituation) reasonToRead() string {
 	if s.rank < min(desiredReaders, s.members) && (s.existingFleet || s.confirmed != 0) {
 		return "ranked among the preferred readers"
@@ -56,8 +57,8 @@
 	return ""
 }
 
-// storeAnswersReaders reports whether the store has confirmed the copy of an active reader lately. If not, more readers
-// would get no answer either; isStale lets some of them try.
+// storeAnswersReaders reports whether the store has confirmed the copy of an active reader lately. If not, more
+// readers would get no answer either; isStale lets some of them try.
 func (s *readerSituation) storeAnswersReaders() bool {
 	return s.hasActiveReader && s.now.Sub(s.newestConfirmation) < staleAfter
 }
@@ -91,12 +92,17 @@
 		return age >= 0 && s.behindSince != 0 && s.now.Sub(s.behindSince) >= fetchGrace+s.rankDelay()
 	default:
 		// The readers get no answer from the store.
-		return age >= time.Duration(s.rank/outageReaders)*outageStep
+		return age >= time.Duration(s.runningRank()/outageReaders)*outageStep
 	}
 }
 
 // rankDelay returns the delay of a member within rankDelaySpan.
 func (s *readerSituation) rankDelay() time.Duration {
-	n := math.Log1p(float64(max(s.members, 1)))
-	return time.Duration(float64(rankDelaySpan) * min(math.Log1p(float64(s.rank))/n, 1))
+	n := math.Log1p(float64(max(s.members-s.silent, 1)))
+	return time.Duration(float64(rankDelaySpan) * min(math.Log1p(float64(s.runningRank()))/n, 1))
+}
+
+// runningRank returns the member's rank among those that run. No member waits for one that is gone.
+func (s *readerSituation) runningRank() int {
+	return s.rank - s.silentBefore
 }
