The members that count the targets which died under a request are chosen among those that run

Cause: the three members that count are chosen by hash among all registrations, and those of VMs that are gone stay.

Ruled out: lost datagrams; with paths whose hash chooses a running member the rule held.

Change: they are chosen among the members that answer the readers (Fleet.Running).

Result: TestCrashingRequestBesideRemovedMembers fails on ("request crashed 6 targets more, 3s after it had crashed three, want at most 3") and passes.

--- a/process/fleet/presence.go
+++ b/process/fleet/presence.go
@@ -29,7 +29,8 @@
 	askedAt clock.Instant
 	// heardAt is when each member last answered this VM or, if it has not, when this VM began to ask it.
 	heardAt map[ident.VM]clock.Instant
-	// silent holds the members that do not answer, as this VM or the last digest of a reader says.
+	// silent holds the members that do not answer, as this VM or the last digest of a reader says. The map is replaced,
+	// never changed.
 	silent map[ident.VM]struct{}
 }
 
@@ -102,7 +103,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.presence.heardAt[v] = f.clock.Now()
-	delete(f.presence.silent, v)
+	if _, ok := f.presence.silent[v]; ok {
+		n := maps.Clone(f.presence.silent)
+		delete(n, v)
+		f.presence.silent = n
+	}
 }
 
 // followPresence takes from the digest of a reader which members are silent, if it is of the same list of members, and
--- a/process/fleet/quarantine.go
+++ b/process/fleet/quarantine.go
@@ -26,6 +26,18 @@
 	})
 }
 
+// Running returns the other members that run as far as is known. The registrations of VMs that are gone stay, and a
+// member that counts for others must be there.
+func (f *Fleet) Running() []roster.Member {
+	f.mu.Lock()
+	silent := f.presence.silent
+	f.mu.Unlock()
+	return slices.DeleteFunc(f.Others(), func(m roster.Member) bool {
+		_, gone := silent[m.Name]
+		return gone
+	})
+}
+
 // SendQuarantine sends a message to a member in a datagram.
 func (f *Fleet) SendQuarantine(to ident.Address, m *wire.QuarantineNews) {
 	f.sendMessage(to, &wire.Digest{Address: string(f.self.Address), Quarantine: m})
--- a/process/gateway/crash_test.go
+++ b/process/gateway/crash_test.go
@@ -34,11 +34,31 @@
 // more from 3 s later on, whichever VM its caller sends it to, also one that has started since, and that other
 // requests are served.
 func TestCrashingRequestReachesNoMoreTargets(t *testing.T) {
-	const path = "/read/crash"
+	checkCrashingRequest(t, 0, http.MethodGet, "/read/crash")
+}
+
+// TestCrashingRequestBesideRemovedMembers checks the same, for a request that is sent to one target at a time, beside
+// the registrations of many VMs that are gone. It guards against these being chosen to count the targets that died.
+func TestCrashingRequestBesideRemovedMembers(t *testing.T) {
+	checkCrashingRequest(t, 60, http.MethodPost, "/claim/crash-1")
+}
+
+// checkCrashingRequest checks a request beside a number of registrations of VMs that are gone.
+func checkCrashingRequest(t *testing.T, removed int, method, path string) {
+	t.Helper()
+	// noticeTime is how long readers take to notice that members do not answer.
+	const noticeTime = 5 * time.Second
 	const spreadTime = 3 * time.Second
 	const maxFurther = 3
 	b := newTestGateway(t, 12, time.Millisecond)
+	for i := range removed {
+		b.store.Put("amaranthramp-members", fmt.Sprintf("gone-%d", i),
+			fmt.Sprintf(`{"Address":"127.44.1.%d:9","DataCentre":"%c"}`, i+1, 'a'+i%3))
+	}
 	fleet := []*testGateway{b, b.addGateway(t, "vm-2"), b.addGateway(t, "vm-3"), b.addGateway(t, "vm-4")}
+	if removed > 0 {
+		time.Sleep(noticeTime)
+	}
 	crashes := func() (n int64) {
 		for _, g := range b.targets {
 			n += g.Crashes()
@@ -51,7 +71,7 @@
 	sent := 0
 	send := func(g *testGateway) {
 		sent++
-		p, _, err := g.send(context.Background(), "GET", path, fmt.Sprint("x", sent), "")
+		p, _, err := g.send(context.Background(), method, path, fmt.Sprint("x", sent), "")
 		if err != nil || p.StatusCode < http.StatusInternalServerError {
 			t.Fatalf("response %v, error %v to a request that crashes targets, want a 5xx status", p, err)
 		}
--- a/request/quarantine/gossip.go
+++ b/request/quarantine/gossip.go
@@ -21,8 +21,8 @@
 	keeperCount = 3
 	// maxDatagramItems bounds the items of one datagram.
 	maxDatagramItems = 24
-	// syncInterval is the interval at which a member compares its quarantines with those of another one, so that it learns
-	// of those whose datagrams it lost, or that are older than its process.
+	// syncInterval is the interval at which a member compares its quarantines with those of another one, so that it
+	// learns of those whose datagrams it lost, or that are older than its process.
 	syncInterval = time.Second
 )
 
@@ -30,14 +30,15 @@
 type Peers interface {
 	// Self returns this member.
 	Self() roster.Member
-	// Others returns the other members.
-	Others() []roster.Member
+	// Running returns the other members that run as far as is known.
+	Running() []roster.Member
 	// SendQuarantine sends a message to a member in a datagram, which may get lost.
 	SendQuarantine(to ident.Address, m *wire.QuarantineNews)
 }
 
 // Gossip exchanges observations with the other members until the context ends. A death is reported to the keepers of
-// the request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to all.
+// the request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to
+// all.
 func (t *Table) Gossip(ctx context.Context, p Peers) {
 	sync := time.NewTicker(syncInterval)
 	defer sync.Stop()
@@ -74,7 +75,7 @@
 
 // ask asks a member at random for its quarantines.
 func (t *Table) ask(p Peers) {
-	others := p.Others()
+	others := p.Running()
 	if len(others) == 0 {
 		return
 	}
@@ -100,7 +101,7 @@
 
 // sendReports sends each report to the members that need it.
 func (t *Table) sendReports(p Peers, l []report) {
-	others := p.Others()
+	others := p.Running()
 	self := p.Self()
 	items := map[ident.Address][]*wire.QuarantineItem{}
 	for _, r := range l {
--- a/request/quarantine/gossip_test.go
+++ b/request/quarantine/gossip_test.go
@@ -28,7 +28,7 @@
 
 func (n node) Self() roster.Member { return n.self }
 
-func (n node) Others() []roster.Member {
+func (n node) Running() []roster.Member {
 	var l []roster.Member
 	for _, m := range n.members {
 		if m.Name != n.self.Name {
@@ -87,8 +87,8 @@
 }
 
 // TestQuarantineReachesAllMembers checks, for members that each see some of the deaths, lose datagrams and restart,
-// that a request that has crashed three targets is quarantined at all members, also at those that start later, and that
-// one that succeeds elsewhere in between is not.
+// that a request that has crashed three targets is quarantined at all members, also at those that start later, and
+// that one that succeeds elsewhere in between is not.
 func TestQuarantineReachesAllMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
@@ -126,8 +126,8 @@
 	})
 }
 
-// TestEndOfQuarantineIsNoSuccess checks that a member that learns of a quarantine in its last millisecond does not take
-// that for a success of the request, which would clear it.
+// TestEndOfQuarantineIsNoSuccess checks that a member that learns of a quarantine in its last millisecond does not
+// take that for a success of the request, which would clear it.
 func TestEndOfQuarantineIsNoSuccess(t *testing.T) {
 	c := clock.NewFake()
 	n := newNetwork(c, 2, 1)
@@ -148,7 +148,7 @@
 func TestKeepersAgree(t *testing.T) {
 	n := newNetwork(clock.NewFake(), 13, 4)
 	for f := range Fingerprint(50) {
-		want := keepers(f, append(node{network: n, self: n.members[0]}.Others(), n.members[0]))
+		want := keepers(f, append(node{network: n, self: n.members[0]}.Running(), n.members[0]))
 		dataCentres := map[ident.DataCentre]bool{}
 		for _, m := range want {
 			dataCentres[m.DataCentre] = true
@@ -157,7 +157,7 @@
 			t.Fatalf("keepers %v, want %d in different data centres", want, keeperCount)
 		}
 		for _, m := range n.members {
-			got := keepers(f, append(node{network: n, self: m}.Others(), m))
+			got := keepers(f, append(node{network: n, self: m}.Running(), m))
 			if fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Fatalf("%s chooses the keepers %v, want %v", m.Name, got, want)
 			}
