--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -165,9 +165,9 @@
 	}
 }
 
-// TestStalledConnectionAlone checks that a request on a stalled connection is aborted while there is still time to
-// send it elsewhere, also when no other request is in flight, and that the idle connections opened together with the
-// stalled one are closed, since whatever stalled one may have stalled them all.
+// TestStalledConnectionAlone checks that a request on a stalled connection is aborted while there is still time to send
+// it elsewhere, also when no other request is in flight, and that the idle connections opened together with the stalled
+// one are closed, since whatever stalled one may have stalled them all.
 func TestStalledConnectionAlone(t *testing.T) {
 	x := stalledExchanger(t)
 	c := longCall()
@@ -253,8 +253,8 @@
 	}
 }
 
-// TestUnresponsiveAddress checks that an address that accepts connections and never responds, as a paused process
-// does, delays only one request, and is used again once it responds.
+// TestUnresponsiveAddress checks that an address that accepts connections and never responds, as a paused process does,
+// delays only one request, and is used again once it responds.
 func TestUnresponsiveAddress(t *testing.T) {
 	var unresponsive atomic.Bool
 	unresponsive.Store(true)
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -132,8 +132,8 @@
 	return a.ReadResponse(p.Body, n)
 }
 
-// hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no
-// body. A response that is delimited by the end of its connection can't be told from a truncated one.
+// hasFraming reports whether the response has a length or a transfer encoding, or answers HEAD, so that it has no body.
+// A response that is delimited by the end of its connection can't be told from a truncated one.
 func hasFraming(p *http.Response) bool {
 	return p.Request.Method == http.MethodHead || p.ContentLength >= 0 || len(p.TransferEncoding) > 0
 }
@@ -202,8 +202,8 @@
 	return outcome.Reset
 }
 
-// reasonOfBodyError returns Truncated for a body that was cut off. An error on this side, such as a timeout or the
-// read limit, keeps its own reason.
+// reasonOfBodyError returns Truncated for a body that was cut off. An error on this side, such as a timeout or the read
+// limit, keeps its own reason.
 func reasonOfBodyError(err error) outcome.Reason {
 	if r := reasonOfIOError(err); r != outcome.Reset {
 		return r
--- a/process/catalog/catalog_test.go
+++ b/process/catalog/catalog_test.go
@@ -286,8 +286,8 @@
 	})
 }
 
-// TestUpdatesConverge makes random changes in one catalog, passes them to a second catalog only through UpdateSince
-// and ApplyUpdate, and checks that both end up with the same targets.
+// TestUpdatesConverge makes random changes in one catalog, passes them to a second catalog only through UpdateSince and
+// ApplyUpdate, and checks that both end up with the same targets.
 func TestUpdatesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if
-// it is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
+// resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if it
+// is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
 // Unlike a listing, a watch also shows what has been written and undone since then.
 func (f *Follower) resumeFrom(k Kind, failed Position) Position {
 	_, asOf := f.catalog.Positions()
@@ -243,8 +243,8 @@
 	return f.source.List(ctx, k, after, s)
 }
 
-// watch applies the changes of a kind until a call fails, and returns the position to resume from; the zero value
-// means that the kind has to be listed again.
+// watch applies the changes of a kind until a call fails, and returns the position to resume from; the zero value means
+// that the kind has to be listed again.
 func (f *Follower) watch(ctx context.Context, k Kind, since Position) Position {
 	wait := watchWait
 	for ctx.Err() == nil {
@@ -363,8 +363,8 @@
 	}
 }
 
-// recordResult records whether the store answered a call. The first failure also cancels the other watches, which
-// would otherwise go on waiting for a store that no longer responds.
+// recordResult records whether the store answered a call. The first failure also cancels the other watches, which would
+// otherwise go on waiting for a store that no longer responds.
 func (f *Follower) recordResult(ctx context.Context, k Kind, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -59,8 +59,8 @@
 // Membership is the entry of a VM of the system.
 type Membership struct{ Member roster.Member }
 
-// Rollout is an operator's order to move the traffic of a service to targets of a new version, with the status that
-// the system has last written.
+// Rollout is an operator's order to move the traffic of a service to targets of a new version, with the status that the
+// system has last written.
 type Rollout struct {
 	Service    ident.Service
 	NewVersion ident.TargetVersion
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -217,8 +217,8 @@
 	return ident.Era(l[k])
 }
 
-// hasEras reports whether this VM has each kind of a digest in the digest's era. A reader that has not noticed yet
-// that the store came back from an older copy can't confirm the copy of a member that has.
+// hasEras reports whether this VM has each kind of a digest in the digest's era. A reader that has not noticed yet that
+// the store came back from an older copy can't confirm the copy of a member that has.
 func (f *Fleet) hasEras(p *pendingFetch) bool {
 	_, asOf := f.catalog.Positions()
 	for k := range catalog.KindCount {
--- a/process/fleet/fetch.go
+++ b/process/fleet/fetch.go
@@ -22,16 +22,15 @@
 // methodNews is the JSON-RPC method that fetches updates from a reader.
 const methodNews = "Fleet.News"
 
-// methodKindNews is the JSON-RPC method that fetches the update of one kind beyond listedKinds. Members of older
-// builds do not have it.
+// methodKindNews is the JSON-RPC method that fetches the update of one kind beyond listedKinds. Members of older builds
+// do not have it.
 const methodKindNews = "Fleet.KindNews"
 
 // fetchTimeout bounds one fetch: if a reader takes longer, the next reader that sends a digest is asked. A reader from
 // which all members fetch a full listing needs seconds, and repeated calls would slow it down further.
 const fetchTimeout = 3 * time.Second
 
-// datagramWait is how long a member that learns of a change from a digest waits for its datagrams before it fetches
-// it.
+// datagramWait is how long a member that learns of a change from a digest waits for its datagrams before it fetches it.
 const datagramWait = 40 * time.Millisecond
 
 // Limits on when a member fetches, and from whom.
@@ -272,8 +271,8 @@
 	return c, nil
 }
 
-// closeAfterError closes a connection on which a call failed and returns the error of the call; an error of Close
-// would add nothing to it.
+// closeAfterError closes a connection on which a call failed and returns the error of the call; an error of Close would
+// add nothing to it.
 func closeAfterError(c *jsonrpc2.Conn, err error) error {
 	_ = c.Close()
 	return err
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -142,8 +142,7 @@
 	readingSince clock.Instant
 	// extraHeardAt is when a reader's digest last covered each kind beyond listedKinds.
 	extraHeardAt [catalog.KindCount]clock.Instant
-	// firstStart is true if the whole system starts for the first time, so that there is nothing to know of other
-	// members.
+	// firstStart is true if the whole system starts for the first time, so that there is nothing to know of other members.
 	firstStart bool
 	// existingFleet is true if the fleet had several members before this VM started.
 	existingFleet bool
@@ -219,8 +218,8 @@
 	return f.fetchCount.Load()
 }
 
-// WarmupSenders returns how many members may start requests at a target in its cold start, or zero if this VM isn't
-// one of them. The rate is the number of requests per second that the target can bear in its cold start.
+// WarmupSenders returns how many members may start requests at a target in its cold start, or zero if this VM isn't one
+// of them. The rate is the number of requests per second that the target can bear in its cold start.
 func (f *Fleet) WarmupSenders(t ident.Target, rate float64) int {
 	return warmupSenders(f.catalog.Get().Members, f.self.Name, t, rate, f.warmupRateBound)
 }
@@ -255,8 +254,8 @@
 }
 
 // readInitialState lists the store, so that a VM that starts in a fleet that existed before can serve requests at once
-// and knows its rank. It accepts stale answers, which have a lower price. At the first start of a fleet no caller
-// waits and there are no members yet, so that the content comes from the first readers.
+// and knows its rank. It accepts stale answers, which have a lower price. At the first start of a fleet no caller waits
+// and there are no members yet, so that the content comes from the first readers.
 func (f *Fleet) readInitialState(ctx context.Context) {
 	if f.firstStart {
 		return
--- a/process/fleet/message.go
+++ b/process/fleet/message.go
@@ -9,8 +9,8 @@
 	"github.com/amaranthramp/amaranthramp/wire"
 )
 
-// HandleReach sets the function that gets the messages on partitions from targets, with the address of their sender.
-// It must be called before Run.
+// HandleReach sets the function that gets the messages on partitions from targets, with the address of their sender. It
+// must be called before Run.
 func (f *Fleet) HandleReach(h func(*wire.ReachNews, ident.Address)) {
 	f.handleReach = h
 }
--- a/process/fleet/reader_situation.go
+++ b/process/fleet/reader_situation.go
@@ -31,11 +31,12 @@
 	hash     float64
 }
 
-// reasonToRead returns why the member has to read the store, or "" if it need not. The rules keep the number of
-// readers small in each of these situations:   - The whole fleet starts, for the first time or again: no member hears
-// from a reader yet.   - All readers fail at once: their members' copies become stale together.   - Many objects
-// change at once: a large fleet needs a moment to fetch the changes.   - The store comes back after an outage: the
-// copies of all members are stale and lack its changes.
+// reasonToRead returns why the member has to read the store, or "" if it need not. The rules keep the number of readers
+// small in each of these situations:
+//   - The whole fleet starts, for the first time or again: no member hears from a reader yet.
+//   - All readers fail at once: their members' copies become stale together.
+//   - Many objects change at once: a large fleet needs a moment to fetch the changes.
+//   - The store comes back after an outage: the copies of all members are stale and lack its changes.
 func (s *readerSituation) reasonToRead() string {
 	if s.rank < min(desiredReaders, s.members) && (s.existingFleet || s.confirmed != 0) {
 		return "ranked among the preferred readers"
@@ -57,8 +58,8 @@
 	return ""
 }
 
-// storeAnswersReaders reports whether the store has confirmed the copy of an active reader lately. If not, more
-// readers would get no answer either; isStale lets some of them try.
+// storeAnswersReaders reports whether the store has confirmed the copy of an active reader lately. If not, more readers
+// would get no answer either; isStale lets some of them try.
 func (s *readerSituation) storeAnswersReaders() bool {
 	return s.hasActiveReader && s.now.Sub(s.newestConfirmation) < staleAfter
 }
--- a/process/gateway/crash_test.go
+++ b/process/gateway/crash_test.go
@@ -31,8 +31,8 @@
 }
 
 // TestCrashingRequestReachesNoMoreTargets checks that a request that has crashed three targets reaches at most three
-// more from 3 s later on, whichever VM its caller sends it to, also one that has started since, and that other
-// requests are served.
+// more from 3 s later on, whichever VM its caller sends it to, also one that has started since, and that other requests
+// are served.
 func TestCrashingRequestReachesNoMoreTargets(t *testing.T) {
 	checkCrashingRequest(t, 0, http.MethodGet, "/read/crash")
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -50,8 +50,8 @@
 	// memoryLimitShare is the share of the VM's memory that is set as the soft limit of the garbage collector, which runs
 	// more often near it: the heap of a reader of the store grows while many members fetch updates from it at once.
 	memoryLimitShare = 0.45
-	// bodyShare is the share of the VM's memory for all bodies of requests and responses that are held at a time. The
-	// soft limit of the garbage collector leaves room for them beside the rest of the heap.
+	// bodyShare is the share of the VM's memory for all bodies of requests and responses that are held at a time. The soft
+	// limit of the garbage collector leaves room for them beside the rest of the heap.
 	bodyShare = 1.0 / 3
 	// quarantineDeaths is how many targets may die under a request before it is quarantined. A target that loses
 	// responses looks like one that dies, so that two in a row are no proof.
--- a/process/gateway/handler.go
+++ b/process/gateway/handler.go
@@ -160,8 +160,7 @@
 	return c
 }
 
-// requestID returns the request ID that the caller sent, or a random one if there is none, since targets require an
-// ID.
+// requestID returns the request ID that the caller sent, or a random one if there is none, since targets require an ID.
 func (h *handler) requestID(d http.Header) ident.Request {
 	if id := d.Get(h.headers.RequestID); id != "" {
 		return ident.Request(id)
@@ -203,8 +202,8 @@
 	writeBody(w, a.Body)
 }
 
-// startupRetryAfter is the retry delay that a VM sends to callers before it has read a configuration: reading the
-// store after a start takes about this long.
+// startupRetryAfter is the retry delay that a VM sends to callers before it has read a configuration: reading the store
+// after a start takes about this long.
 const startupRetryAfter = 200 * time.Millisecond
 
 // unavailable returns an answer that tells the caller to retry after startupRetryAfter.
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -25,9 +25,9 @@
 // errStopping is the cause with which requests are abandoned near the end of the grace time.
 var errStopping = errors.New("gateway: the grace time of the planned stop ends")
 
-// stop performs the planned stop: it reports not ready, accepts connections for as long as the platform's load
-// balancer may still send some, then finishes the requests in flight, those from other VMs too. Those that last too
-// long get an answer that says whether they may have run.
+// stop performs the planned stop: it reports not ready, accepts connections for as long as the platform's load balancer
+// may still send some, then finishes the requests in flight, those from other VMs too. Those that last too long get an
+// answer that says whether they may have run.
 func (g *Gateway) stop(s *callerServer, forwarded *http.Server) error {
 	began := time.Now()
 	g.draining.Store(true)
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// TestStopLosesEndOfAnswer guards against a planned stop that resets the connection of a caller with pipelined
-// requests before the last answer has arrived.
+// TestStopLosesEndOfAnswer guards against a planned stop that resets the connection of a caller with pipelined requests
+// before the last answer has arrived.
 func TestStopLosesEndOfAnswer(t *testing.T) {
 	b := newTestGateway(t, 3, 300*time.Millisecond)
 	n := b.dialSlowReader(t)
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -96,8 +96,8 @@
 // Broken means that at least part of the request was written, but no complete and valid response was received.
 type Broken struct{ Reason Reason }
 
-// OwnerUnresponsive means that the request was forwarded to the member that owns its shard, and no complete response
-// of that member was received. The request may have run.
+// OwnerUnresponsive means that the request was forwarded to the member that owns its shard, and no complete response of
+// that member was received. The request may have run.
 type OwnerUnresponsive struct{ Reason Reason }
 
 // Rejected means that the request was rejected before it was written to an upstream, and that a retry elsewhere would
--- a/request/quarantine/gossip.go
+++ b/request/quarantine/gossip.go
@@ -21,8 +21,8 @@
 	keeperCount = 3
 	// maxDatagramItems bounds the items of one datagram.
 	maxDatagramItems = 24
-	// syncInterval is the interval at which a member compares its quarantines with those of another one, so that it
-	// learns of those whose datagrams it lost, or that are older than its process.
+	// syncInterval is the interval at which a member compares its quarantines with those of another one, so that it learns
+	// of those whose datagrams it lost, or that are older than its process.
 	syncInterval = time.Second
 )
 
@@ -37,8 +37,7 @@
 }
 
 // Gossip exchanges observations with the other members until the context ends. A death is reported to the keepers of
-// the request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to
-// all.
+// the request only, since single deaths are frequent in a disturbance; quarantines and successes of suspects go to all.
 func (t *Table) Gossip(ctx context.Context, p Peers) {
 	sync := time.NewTicker(syncInterval)
 	defer sync.Stop()
--- a/request/quarantine/gossip_test.go
+++ b/request/quarantine/gossip_test.go
@@ -87,8 +87,8 @@
 }
 
 // TestQuarantineReachesAllMembers checks, for members that each see some of the deaths, lose datagrams and restart,
-// that a request that has crashed three targets is quarantined at all members, also at those that start later, and
-// that one that succeeds elsewhere in between is not.
+// that a request that has crashed three targets is quarantined at all members, also at those that start later, and that
+// one that succeeds elsewhere in between is not.
 func TestQuarantineReachesAllMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := clock.NewFake()
@@ -126,8 +126,8 @@
 	})
 }
 
-// TestEndOfQuarantineIsNoSuccess checks that a member that learns of a quarantine in its last millisecond does not
-// take that for a success of the request, which would clear it.
+// TestEndOfQuarantineIsNoSuccess checks that a member that learns of a quarantine in its last millisecond does not take
+// that for a success of the request, which would clear it.
 func TestEndOfQuarantineIsNoSuccess(t *testing.T) {
 	c := clock.NewFake()
 	n := newNetwork(c, 2, 1)
--- a/request/quarantine/quarantine.go
+++ b/request/quarantine/quarantine.go
@@ -163,8 +163,8 @@
 	return report{item: i, delivered: make(chan struct{})}
 }
 
-// clear removes a suspect whose success is recorded, and reports that to the other members with the age of the
-// success, since one that they took for new would also clear deaths after it; the lock must be held.
+// clear removes a suspect whose success is recorded, and reports that to the other members with the age of the success,
+// since one that they took for new would also clear deaths after it; the lock must be held.
 func (t *Table) clear(f Fingerprint) {
 	delete(t.suspects, f)
 	i := &wire.QuarantineItem{Fingerprint: uint64(f)}
@@ -193,8 +193,8 @@
 	}
 }
 
-// applyQuarantine applies a quarantine that another member has found. If the request has succeeded here since the
-// first of the deaths, it is not their cause: the quarantine is lifted everywhere.
+// applyQuarantine applies a quarantine that another member has found. If the request has succeeded here since the first
+// of the deaths, it is not their cause: the quarantine is lifted everywhere.
 func (t *Table) applyQuarantine(f Fingerprint, i *wire.QuarantineItem) {
 	now := t.clock.Now()
 	firstDeath := now.Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)
--- a/request/relay/detour.go
+++ b/request/relay/detour.go
@@ -17,16 +17,16 @@
 // maxDetours is how many members a request may be sent through, one after the other.
 const maxDetours = 2
 
-// minDetourTime is the time left until the deadline below which a request isn't sent through another VM: that one
-// would not have the time to answer that it has not sent the request.
+// minDetourTime is the time left until the deadline below which a request isn't sent through another VM: that one would
+// not have the time to answer that it has not sent the request.
 const minDetourTime = 2 * minForwardedAnswerTime
 
 // detourAttempt is the attempt number of a call that goes through another VM. With a number above 1 the exchange waits
 // for a late answer, since a member with one slow request looks like one that does not respond.
 const detourAttempt ident.Attempt = 2
 
-// needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or
-// has just found no target that responds, and the request may still be sent to a target.
+// needsDetour reports whether the next attempt goes through another VM: this VM is partitioned from the service, or has
+// just found no target that responds, and the request may still be sent to a target.
 func (r *Relay) needsDetour(s *requestState) bool {
 	if s.forwarded || s.noMember || s.call.Deadline.Sub(r.clock.Now()) < minDetourTime || len(s.detours) >= maxDetours {
 		return false
