Metrics show the first 1,000 routes by name and the others together

What callers saw: nothing yet.

Cause: client_golang keeps every label value.

Change: the bound that the labels of teams had now holds for routes too (labels).

Result: TestRouteLabelsAreBounded wants 2,002 series after 3,000 routes; without a bound they are 6,000, by reading. TestManyTeams passes as before.

--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -27,9 +27,13 @@
 	// byTeam counts callers' requests by team, and rejectedKeys those that were refused for lack of a valid API key.
 	byTeam       *prometheus.CounterVec
 	rejectedKeys *prometheus.CounterVec
-	teams        teamLabels
+	// routes and teams are the label values of routes and teams.
+	routes, teams *labels
 }
 
+// maxRouteLabels bounds the routes that have a label value of their own in metrics.
+const maxRouteLabels = 1000
+
 // newMetrics registers the metrics of callers' requests, and those that report the state of the gateway.
 func newMetrics(r prometheus.Registerer, g *Gateway) *metrics {
 	f := promauto.With(r)
@@ -49,8 +53,11 @@
 	r.MustRegister(&retryCollector{retries: g.retries}, &detourCollector{detours: g.detours},
 		&allowanceCollector{limiter: g.limiter}, &admissionCollector{chooser: g.chooser}, &connectionCollector{gateway: g})
 	return &metrics{
+		routes: newLabels(maxRouteLabels), teams: newLabels(maxTeamLabels),
 		requests: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "amaranthramp_gateway_requests_total", Help: "Callers' requests by route, outcome and reason.",
+			Name: "amaranthramp_gateway_requests_total",
+			Help: "Callers' requests by route, outcome and reason; " + otherLabel +
+				" stands for the routes beyond the number of those with a value of their own.",
 		}, []string{"route", "outcome", "reason"}),
 		forwarded: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthramp_gateway_forwarded_requests_total",
@@ -62,7 +69,7 @@
 		}, []string{"route"}),
 		byTeam: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "amaranthramp_gateway_team_requests_total",
-			Help: "Callers' requests by team and outcome; " + otherTeams +
+			Help: "Callers' requests by team and outcome; " + otherLabel +
 				" stands for the teams beyond the number of those with a value of their own.",
 		}, []string{"team", "outcome"}),
 		rejectedKeys: f.NewCounterVec(prometheus.CounterOpts{
@@ -139,10 +146,11 @@
 
 // observe records the answer to a request of a team, which may be nil, and the request's duration.
 func (m *metrics) observe(o *route.Route, t *team.Team, a *call.Answer, d time.Duration) {
-	m.requests.WithLabelValues(string(o.Name), string(a.Outcome), string(a.Reason)).Inc()
-	m.duration.WithLabelValues(string(o.Name)).Observe(d.Seconds())
+	name := m.routes.of(string(o.Name))
+	m.requests.WithLabelValues(name, string(a.Outcome), string(a.Reason)).Inc()
+	m.duration.WithLabelValues(name).Observe(d.Seconds())
 	if t != nil {
-		m.byTeam.WithLabelValues(m.teams.label(t.Name), string(a.Outcome)).Inc()
+		m.byTeam.WithLabelValues(m.teams.of(string(t.Name)), string(a.Outcome)).Inc()
 	}
 	switch a.Reason {
 	case outcome.Unauthorized:
