A planned stop passes no request on whose connection it has just closed

It closed idle connections by SetKeepAlivesEnabled, which handles a request that is read at the same instant; Shutdown, which was called before, drops it.

Ruled out: the end of the grace time, 3 s later.

Change: the server records which connections wait for a request, and closes those under the lock that also marks the next request. A request on a connection that it has closed is dropped before it is passed on, as before; the others get answers.

--- a/process/gateway/caller_server.go
+++ b/process/gateway/caller_server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/process/clock"
@@ -21,6 +22,8 @@
 	defaultIdleTimeout   = 60 * time.Second
 	// finishCheckInterval is how often a planned stop checks whether all connections have ended.
 	finishCheckInterval = 10 * time.Millisecond
+	// firstRequestTime is how long a new connection has at a planned stop to send its first request.
+	firstRequestTime = 5 * time.Second
 )
 
 // callerServer serves callers' connections with the limits of the configuration. An http.Server can't change its
@@ -44,10 +47,24 @@
 type limitedServer struct {
 	*http.Server
 	accepted *handoffListener
-	// open counts the connections that have not ended; the lock of the callerServer must be held.
-	open int
+	// open counts the connections that have not ended, and conns holds them from their first state on; the lock of the
+	// callerServer must be held for both.
+	open  int
+	conns map[net.Conn]*callerConn
 }
 
+// callerConn is the state of a connection; the lock of the callerServer must be held but for closed.
+type callerConn struct {
+	accepted time.Time
+	// used is whether it has carried a request, and waiting whether it waits for one.
+	used, waiting bool
+	// closed is set once a planned stop has closed the connection while it waited.
+	closed atomic.Bool
+}
+
+// connKey is the key of the callerConn in the context of a request.
+type connKey struct{}
+
 func newCallerServer(
 	l net.Listener, h http.Handler, e *log.Logger, requests func() context.Context,
 ) *callerServer {
@@ -102,18 +119,21 @@
 
 // startServer starts an HTTP server with the limits and makes it the current one; the lock must be held.
 func (cs *callerServer) startServer(l route.Limits) {
-	s := &limitedServer{Server: &http.Server{
-		Handler: cs.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	s := &limitedServer{conns: map[net.Conn]*callerConn{}, Server: &http.Server{
+		Handler: dropCrossing(cs.handler), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: cs.errorLog,
 		BaseContext: func(net.Listener) context.Context { return cs.requests() },
 		// net/http would answer OPTIONS * itself, as if a target had.
 		DisableGeneralOptionsHandler: true,
 	}}
-	s.ConnState = func(_ net.Conn, n http.ConnState) {
-		if n == http.StateClosed || n == http.StateHijacked {
-			cs.countEnd(s)
-		}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		n := &callerConn{accepted: time.Now(), waiting: true}
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		s.conns[c] = n
+		return context.WithValue(ctx, connKey{}, n)
 	}
+	s.ConnState = func(c net.Conn, n http.ConnState) { cs.changeState(s, c, n) }
 	if l.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = l.HeaderTimeout
 	}
@@ -132,6 +152,51 @@
 	go func() { _ = s.Serve(s.accepted) }()
 }
 
+// dropCrossing drops a request that has crossed the close of its connection by a planned stop: its caller gets no
+// answer any more, so that no target may run it.
+func dropCrossing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n, ok := r.Context().Value(connKey{}).(*callerConn); ok && n.closed.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// changeState records whether a connection waits for a request, before a request on it is handled.
+func (cs *callerServer) changeState(s *limitedServer, c net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		cs.countEnd(s)
+	}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	n, ok := s.conns[c]
+	switch {
+	case !ok:
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(s.conns, c)
+	case state == http.StateActive:
+		n.used, n.waiting = true, false
+	case state == http.StateIdle:
+		n.waiting = true
+	}
+}
+
+// closeWaiting closes the connections that wait for a request, but for new ones that have not had firstRequestTime.
+func (cs *callerServer) closeWaiting() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for s := range cs.servers {
+		for c, n := range s.conns {
+			if n.waiting && !n.closed.Load() && (n.used || time.Since(n.accepted) >= firstRequestTime) {
+				n.closed.Store(true)
+				// The error of a connection that has ended by itself adds nothing.
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 // countEnd counts the end of a connection.
 func (cs *callerServer) countEnd(s *limitedServer) {
 	cs.mu.Lock()
@@ -155,14 +220,11 @@
 	return cs.listener.Close()
 }
 
-// finish closes the idle connections and waits until the others have ended; close must have been called. A request
-// that is read meanwhile still gets an answer: unlike this, Shutdown of an http.Server drops it and closes the
-// connection.
+// finish closes the connections that wait for a request and waits until the others have ended; close must have been
+// called. A request that is read meanwhile still gets an answer: unlike this, Shutdown of an http.Server drops it and
+// closes the connection. The answers must say that the connection is closed after them.
 func (cs *callerServer) finish(ctx context.Context) {
-	for _, s := range cs.remaining() {
-		s.SetKeepAlivesEnabled(false)
-	}
-	for cs.openConnections() > 0 && clock.Sleep(ctx, finishCheckInterval) {
+	for cs.closeWaiting(); cs.openConnections() > 0 && clock.Sleep(ctx, finishCheckInterval); cs.closeWaiting() {
 	}
 }
 
--- a/process/gateway/caller_server_test.go
+++ b/process/gateway/caller_server_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -9,9 +10,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/amaranthramp/amaranthramp/connection/listener"
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/version/route"
 )
@@ -128,3 +134,64 @@
 		t.Errorf("%d servers and %d connections after all have ended, want 1 and 0", n, open)
 	}
 }
+
+// TestRequestsCrossTheStop checks that each request that is handled gets its answer, although a planned stop closes the
+// connections that wait for a request at the same instant: one that had just been read was passed on, and its
+// connection was closed.
+func TestRequestsCrossTheStop(t *testing.T) {
+	const rounds, connections = 30, 20
+	for round := range rounds {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		handled := map[string]bool{}
+		var stopping atomic.Bool
+		h := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			handled[r.URL.Path] = true
+		})
+		cs := newCallerServer(listener.New(l, zerolog.Nop()), listener.CloseOnStop(stopping.Load)(h),
+			log.New(io.Discard, "", 0), context.Background)
+		go func() { _ = cs.serve() }()
+		var kept []net.Conn
+		for range connections {
+			n := dialAndSend(t, cs, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+			if _, err := http.ReadResponse(bufio.NewReader(n), nil); err != nil {
+				t.Fatal(err)
+			}
+			kept = append(kept, n)
+		}
+		answered := make([]bool, connections)
+		var w sync.WaitGroup
+		start := make(chan struct{})
+		for i, n := range kept {
+			w.Go(func() {
+				<-start
+				time.Sleep(time.Duration(i*10) * time.Microsecond)
+				// A write that fails is followed by a read that does.
+				_, _ = fmt.Fprintf(n, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+				p, err := http.ReadResponse(bufio.NewReader(n), nil)
+				answered[i] = err == nil && p.StatusCode == http.StatusOK
+				_ = n.Close()
+			})
+		}
+		stopping.Store(true)
+		close(start)
+		time.Sleep(time.Duration(round) * 20 * time.Microsecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_ = cs.close()
+		cs.finish(ctx)
+		w.Wait()
+		cancel()
+		mu.Lock()
+		for i, ok := range answered {
+			if handled[fmt.Sprint("/", i)] != ok {
+				t.Errorf("round %d: request %d handled %t, answered %t, want both or none", round, i, !ok, ok)
+			}
+		}
+		mu.Unlock()
+	}
+}
