--- a/review/rig3/config.go
+++ b/review/rig3/config.go
@@ -40,8 +40,15 @@
 	TimeoutMs   int    `json:"timeout-ms"`
 	AimMs       int    `json:"aim-ms"`
 	Priority    int    `json:"priority"`
-	Service     string `json:"service"`
+	Service     string `json:"service,omitempty"`
 	MaxAttempts int    `json:"max-attempts"`
+	// TrafficSplit stands instead of Service if it is not empty.
+	TrafficSplit []part `json:"traffic-split,omitempty"`
+}
+
+type part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 type tenant struct {
