review: case 14, tenants that no machine serves after a loss of machines

Each tenant's allowance is kept by 4 of the registered machines, and machines that are gone stay among them. With 9 of 13 machines removed at once, three of 20 tenants get 503 for every request at the 4 machines that are left, while these serve all others (Starved).

--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// timeLimit is how long a consumer waits for its answer.
+const timeLimit = 1200 * time.Millisecond
+
 // answer is what a consumer has got for a request.
 type answer struct {
 	status int
@@ -38,10 +41,10 @@
 func (c *consumer) close() { _ = c.conn.Close() }
 
 // send sends a request and reads its answer. more holds complete header lines.
-func (c *consumer) send(method, host, path, id, more, body string, limit time.Duration) (answer, error) {
-	_ = c.conn.SetDeadline(time.Now().Add(limit))
-	q := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s", method, path, host, headerID, id,
-		headerTime, limit.Milliseconds(), more)
+func (c *consumer) send(method, path, id, more, body string) (answer, error) {
+	_ = c.conn.SetDeadline(time.Now().Add(timeLimit))
+	q := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s", method, path, testHost, headerID, id,
+		headerTime, timeLimit.Milliseconds(), more)
 	if method != http.MethodGet {
 		q += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -25,11 +25,11 @@
 // leaving is case 11: a target reports that it is draining, and the operator changes a time-out a moment later, while
 // idle connections to the store are silent.
 func leaving(w *world, trouble bool) (result, error) {
-	if err := w.addTargets("remit-intake", 6, 3, 160*time.Millisecond); err != nil {
+	if err := w.addTargets("remit-intake", 6, 160*time.Millisecond); err != nil {
 		return false, err
 	}
 	w.configure(oneRoute(1000))
-	if err := w.startMachines(13); err != nil {
+	if err := w.startMachines(); err != nil {
 		return false, err
 	}
 	time.Sleep(idleTime + 500*time.Millisecond)
@@ -118,7 +118,7 @@
 	defer c.close()
 	id := newID()
 	l.world.record.add("sent     %s to %s: %s %s", id, m.name, method, path)
-	a, err := c.send(method, testHost, path, id, "", "amount=12", 1200*time.Millisecond)
+	a, err := c.send(method, path, id, "", "amount=12")
 	if err != nil {
 		l.world.record.add("answer   %s: none, %v", id, err)
 	} else {
--- a/review/rig3/limits.go
+++ b/review/rig3/limits.go
@@ -21,7 +21,7 @@
 
 // limitsRaised is case 12: the operator raises the limit on the size of headers while consumers keep connections open.
 func limitsRaised(w *world, trouble bool) (result, error) {
-	if err := w.addTargets("remit-intake", 6, 3, 20*time.Millisecond); err != nil {
+	if err := w.addTargets("remit-intake", 6, 20*time.Millisecond); err != nil {
 		return false, err
 	}
 	before, after := oneRoute(1000), oneRoute(1000)
@@ -30,7 +30,7 @@
 		before = after
 	}
 	w.configure(before)
-	if err := w.startMachines(13); err != nil {
+	if err := w.startMachines(); err != nil {
 		return false, err
 	}
 	time.Sleep(contact)
@@ -68,7 +68,7 @@
 		}
 		id := newID()
 		w.record.add("sent     %s on kept connection %d: header of over %d bytes", id, i, size)
-		a, err := c.send(http.MethodPost, testHost, "/gowu831/2f", id, more, "amount=12", 1200*time.Millisecond)
+		a, err := c.send(http.MethodPost, "/gowu831/2f", id, more, "amount=12")
 		w.record.add("answer   %s: %d %v %s", id, a.status, err, firstLine(a.body))
 		n[a.status]++
 		if a.status/100 == 4 && a.status != 408 && a.status != 421 && a.status != 429 {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 // cases are the scripted cases by name. trouble is false if the case runs without its disruption.
 var cases = map[string]func(w *world, trouble bool) (result, error){
 	"leaving": leaving,
+	"lost":    machinesLost,
 	"weights": weights,
 	"limits":  limitsRaised,
 }
--- a/review/rig3/target.go
+++ b/review/rig3/target.go
@@ -22,6 +22,9 @@
 	headerTenant   = "Amaranthramp-Tenant"
 )
 
+// targetSlots is the number of requests that a target runs at the same time.
+const targetSlots = 3
+
 // target is a sound server of one service. Its answers name the service.
 type target struct {
 	id, service, zone, address string
@@ -44,13 +47,13 @@
 }
 
 // newTarget starts a target on a free port of an address.
-func newTarget(r *record, ip, id, service, zone string, slots int, work time.Duration) (*target, error) {
+func newTarget(r *record, ip, id, service, zone string, work time.Duration) (*target, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
 	t := &target{
-		id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, work: work, record: r,
+		id: id, service: service, zone: zone, address: l.Addr().String(), slots: targetSlots, work: work, record: r,
 		born: time.Now().Add(-time.Hour).UnixMilli(),
 	}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
--- a/review/rig3/weights.go
+++ b/review/rig3/weights.go
@@ -18,7 +18,7 @@
 // proportion.
 func weights(w *world, trouble bool) (result, error) {
 	for _, s := range []string{"member-ledger", "statement-desk"} {
-		if err := w.addTargets(s, 6, 3, 20*time.Millisecond); err != nil {
+		if err := w.addTargets(s, 6, 20*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
@@ -30,7 +30,7 @@
 	report.Name, report.PathPrefix = "r-2", "/fira23/"
 	before := twoServices(balance, report)
 	w.configure(before)
-	if err := w.startMachines(13); err != nil {
+	if err := w.startMachines(); err != nil {
 		return false, err
 	}
 	time.Sleep(contact)
@@ -84,7 +84,7 @@
 		}
 		id := newID()
 		w.record.add("sent     %s to %s: GET %s", id, m.name, path)
-		a, err := c.send(http.MethodGet, testHost, path, id, "", "", 1200*time.Millisecond)
+		a, err := c.send(http.MethodGet, path, id, "", "")
 		c.close()
 		w.record.add("answer   %s: %d %v %s", id, a.status, err, firstLine(a.body))
 		n.byStatus[a.status]++
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -57,14 +57,14 @@
 }
 
 // addTargets starts n targets of a service in the zones in turn, and registers them.
-func (w *world) addTargets(service string, n, slots int, work time.Duration) error {
+func (w *world) addTargets(service string, n int, work time.Duration) error {
 	for i := range n {
 		ip, err := w.network.ip()
 		if err != nil {
 			return err
 		}
 		id := fmt.Sprintf("i-%s-%d", service, i)
-		t, err := newTarget(w.record, ip, id, service, zones[i%len(zones)], slots, work)
+		t, err := newTarget(w.record, ip, id, service, zones[i%len(zones)], work)
 		if err != nil {
 			return err
 		}
@@ -94,9 +94,12 @@
 	return &machine{name: name, ip: ip, zone: z, dir: w.dir, store: w.storeAt}, nil
 }
 
-// startMachines starts n machines, the first of the system, and waits until all are ready.
-func (w *world) startMachines(n int) error {
-	for i := range n {
+// machineCount is the number of machines of a small deployment.
+const machineCount = 13
+
+// startMachines starts the machines of the system for the first time, and waits until all are ready.
+func (w *world) startMachines() error {
+	for i := range machineCount {
 		m, err := w.newMachine(i)
 		if err != nil {
 			return err
