review: case 11 with lost answers of the store in place of silent connections

The gateway's TCP keep-alives show a connection whose packets are dropped within 3 s; the earlier form of the case acknowledged them.

--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -9,37 +9,34 @@
 
 // The timing of case 11.
 const (
-	// contact is contact-ms of the settings, with a margin: machines are in touch that long after the connections have
-	// gone silent.
+	// contact is contact-ms of the settings, with a margin: the store is stable and machines are in touch that long after
+	// the disturbance.
 	contact = 3500 * time.Millisecond
 	// drainBound is drain-ms.
 	drainBound = 2 * time.Second
-	// configAfter is how long after the target's report the operator changes the configuration.
+	// lossTime is how long answers of the store get lost.
+	lossTime = 2 * time.Second
+	// configAfter is how long after the change of a target the operator changes the configuration.
 	configAfter = 200 * time.Millisecond
 	// leavesAfter is how long after its report the target exits.
 	leavesAfter = 7 * time.Second
-	// idleTime is how long a connection to the store has been idle if it goes silent.
-	idleTime = time.Second
 )
 
-// leaving is case 11: a target reports that it is draining, and the operator changes a time-out a moment later, while
-// idle connections to the store are silent.
+// leaving is case 11: a target reports that it is draining, and the operator changes a time-out a moment later, after
+// a time in which answers of the store got lost.
 func leaving(w *world, trouble bool) (result, error) {
-	if err := w.addTargets("remit-intake", 6, 160*time.Millisecond); err != nil {
+	if err := w.addTargets("remit-intake", 8, 160*time.Millisecond); err != nil {
 		return false, err
 	}
 	w.configure(oneRoute(1000))
 	if err := w.startMachines(); err != nil {
 		return false, err
 	}
-	time.Sleep(idleTime + 500*time.Millisecond)
+	time.Sleep(contact)
 	load := w.startLoad("POST", "/gowu831/2f", 20*time.Millisecond)
-	if trouble {
-		n := w.store.silence(idleTime)
-		w.record.say("connections to the store that have gone silent, by the kind that is watched: %v", n)
-		if n["servers"] == 0 {
-			return false, errors.New("no watch of the targets was idle")
-		}
+	time.Sleep(lossTime)
+	if err := w.loseAnswers(trouble); err != nil {
+		return false, err
 	}
 	time.Sleep(contact)
 	x := w.targets[0]
@@ -49,7 +46,7 @@
 	ack := time.Now()
 	w.record.say("the store has acknowledged that target %s is draining", x.id)
 	time.Sleep(configAfter)
-	w.configure(oneRoute(1100))
+	w.configure(oneRoute(1200))
 	time.Sleep(time.Until(ack.Add(leavesAfter)))
 	late := x.after(ack, drainBound)
 	w.record.say("target %s exits", x.id)
@@ -66,6 +63,30 @@
 	return len(late) > 0, nil
 }
 
+// loseAnswers has the answers to the watches of the targets get lost for a moment, if trouble is set, in which a target
+// is added and the configuration changes.
+func (w *world) loseAnswers(trouble bool) error {
+	kind := ""
+	if trouble {
+		kind = "servers"
+	}
+	w.store.lose(kind)
+	end := time.Now().Add(lossTime)
+	if err := w.addTarget("remit-intake", len(w.targets), 160*time.Millisecond); err != nil {
+		return err
+	}
+	w.record.say("target %s has registered", w.targets[len(w.targets)-1].id)
+	time.Sleep(configAfter)
+	w.configure(oneRoute(1100))
+	time.Sleep(time.Until(end))
+	lost, answered := w.store.lose("")
+	w.record.say("answers of the store to watches in %v: %d lost, %d not", lossTime, lost, answered)
+	if trouble && lost == 0 {
+		return errors.New("no answer got lost")
+	}
+	return nil
+}
+
 // oneRoute returns a configuration with one route for requests that may run once, and its time-out.
 func oneRoute(ms int) configuration {
 	return configuration{
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -41,22 +41,14 @@
 	objects  map[string]map[string]object
 	history  []event
 	changed  chan struct{}
-	// waiting holds the watches that wait for a change, with the time since which they do. The connection of one that is
-	// silent returns nothing further.
-	waiting map[*waiting]struct{}
-}
-
-// waiting is a watch that waits for a change.
-type waiting struct {
-	kind   string
-	since  time.Time
-	silent bool
+	// losing is the kind whose watches' answers get lost, or empty. A connection on which one is lost returns nothing
+	// further, and lost counts these, answered those that arrive while some get lost.
+	losing         string
+	lost, answered int
 }
 
 func newStore() *store {
-	return &store{
-		revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), waiting: map[*waiting]struct{}{},
-	}
+	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
 }
 
 // put creates or replaces an object, as the operator and the targets do.
@@ -110,19 +102,26 @@
 	s.changed = make(chan struct{})
 }
 
-// silence makes the connections silent on which a call has waited for longer than the given time: what the store sends
-// on them gets lost. It returns how many there are of each kind.
-func (s *store) silence(idle time.Duration) map[string]int {
+// lose has the answers to the watches of a kind get lost from now on, or of none if it is empty. It returns how many
+// answers to watches got lost since the last call, and how many did not.
+func (s *store) lose(kind string) (lost, answered int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := map[string]int{}
-	for x := range s.waiting {
-		if time.Since(x.since) > idle {
-			x.silent = true
-			n[x.kind]++
-		}
+	lost, answered = s.lost, s.answered
+	s.losing, s.lost, s.answered = kind, 0, 0
+	return lost, answered
+}
+
+// loses reports whether the answer to a watch gets lost, and counts it.
+func (s *store) loses(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind == s.losing {
+		s.lost++
+		return true
 	}
-	return n
+	s.answered++
+	return false
 }
 
 // ServeHTTP serves the calls that PROTOCOL.md describes, as far as the gateway makes them.
@@ -177,15 +176,6 @@
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
-	x := &waiting{kind: kind, since: time.Now()}
-	s.mu.Lock()
-	s.waiting[x] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.waiting, x)
-	}()
 	for {
 		s.mu.Lock()
 		a := struct {
@@ -197,24 +187,16 @@
 				a.Events = append(a.Events, e)
 			}
 		}
-		changed, silent := s.changed, x.silent
+		changed := s.changed
 		s.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			return
-		}
 		if len(a.Events) > 0 {
-			reply(w, http.StatusOK, a)
+			s.answer(w, r, kind, a)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			if s.isSilent(x) {
-				<-r.Context().Done()
-				return
-			}
-			reply(w, http.StatusOK, a)
+			s.answer(w, r, kind, a)
 			return
 		case <-r.Context().Done():
 			return
@@ -222,10 +204,13 @@
 	}
 }
 
-func (s *store) isSilent(x *waiting) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return x.silent
+// answer answers a watch, unless the answer gets lost: then the connection stays open and returns nothing further.
+func (s *store) answer(w http.ResponseWriter, r *http.Request, kind string, a any) {
+	if s.loses(kind) {
+		<-r.Context().Done()
+		return
+	}
+	reply(w, http.StatusOK, a)
 }
 
 func (s *store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -59,21 +59,29 @@
 // addTargets starts n targets of a service in the zones in turn, and registers them.
 func (w *world) addTargets(service string, n int, work time.Duration) error {
 	for i := range n {
-		ip, err := w.network.ip()
-		if err != nil {
-			return err
-		}
-		id := fmt.Sprintf("i-%s-%d", service, i)
-		t, err := newTarget(w.record, ip, id, service, zones[i%len(zones)], work)
-		if err != nil {
+		if err := w.addTarget(service, i, work); err != nil {
 			return err
 		}
-		w.targets = append(w.targets, t)
-		w.store.put("servers", id, t.registration())
 	}
 	return nil
 }
 
+// addTarget starts the target of a service with a number, and registers it.
+func (w *world) addTarget(service string, i int, work time.Duration) error {
+	ip, err := w.network.ip()
+	if err != nil {
+		return err
+	}
+	id := fmt.Sprintf("i-%s-%d", service, i)
+	t, err := newTarget(w.record, ip, id, service, zones[i%len(zones)], work)
+	if err != nil {
+		return err
+	}
+	w.targets = append(w.targets, t)
+	w.store.put("servers", id, t.registration())
+	return nil
+}
+
 // configure writes the next version of the configuration.
 func (w *world) configure(c configuration) {
 	c.BaseVersion = w.version
