--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -133,7 +133,7 @@
 discovery = "platform"
 entry = "static"
 heartbeat-ms = 1500
-contracts = ["base","drain","config","cost","retry","recover","health","places","platform"]
+contracts = ["base","drain","config","cost","retry","recover","health","places","tenants","quota","platform"]
 bounds = [%s]
 [zones]
 %s[listen]
@@ -162,8 +162,9 @@
 		m.store)
 }
 
-// bounds are those of the small sites.
+// bounds are those of the small sites, and those for tenants of the site fjordramp-osl-grown.
 const bounds = `"seed-lag-s=3","addr-reuse-s=2","contact-ms=3000","ack-ms=4000","catch-up-s=4","drain-ms=2000",` +
 	`"grace-s=6","loss-slack-ms=200","config-apply-ms=2000","rollback-slack-ms=250","max-stretch-ms=5000",` +
 	`"retry-ratio=0.2","retry-window-s=10","retry-slack=56","warmup-overshoot=1.5","warmup-slack=5",` +
-	`"evacuate-ms=5000","recovery-s=15","probes-per-s=60"`
+	`"evacuate-ms=5000","recovery-s=15","probes-per-s=60","strict-revoke=false","revoke-ms=5000",` +
+	`"quota-window-s=5","quota-overshoot=0.1","quota-slack=20"`
--- a/review/rig3/weights.go
+++ b/review/rig3/weights.go
@@ -34,7 +34,7 @@
 		return false, err
 	}
 	time.Sleep(contact)
-	if n := w.look("/cuti630/2f"); n.byService["member-ledger"] == 0 {
+	if n := w.look("/cuti630/2f", ""); n.byService["member-ledger"] == 0 {
 		return false, errors.New("the first configuration is not in force")
 	}
 	moved, added, split := balance, balance, report
@@ -49,7 +49,7 @@
 	time.Sleep(applyBound + 500*time.Millisecond)
 	late, denied, all := 0, 0, 0
 	for end := time.Now().Add(lookTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		m, a := w.look("/cuti630/2f"), w.look("/gowu831/2f")
+		m, a := w.look("/cuti630/2f", ""), w.look("/gowu831/2f", "")
 		late += m.byService["member-ledger"]
 		denied += a.byStatus[http.StatusNotFound]
 		all += 2 * len(w.machines)
@@ -73,8 +73,8 @@
 	byStatus  map[int]int
 }
 
-// look sends one request of a path to each machine.
-func (w *world) look(path string) seen {
+// look sends one request of a path to each machine. more holds complete header lines.
+func (w *world) look(path, more string) seen {
 	n := seen{byService: map[string]int{}, byStatus: map[int]int{}}
 	for _, m := range w.machines {
 		c, err := connect(m.front())
@@ -84,7 +84,7 @@
 		}
 		id := newID()
 		w.record.add("sent     %s to %s: GET %s", id, m.name, path)
-		a, err := c.send(http.MethodGet, path, id, "", "")
+		a, err := c.send(http.MethodGet, path, id, more, "")
 		c.close()
 		w.record.add("answer   %s: %d %v %s", id, a.status, err, firstLine(a.body))
 		n.byStatus[a.status]++
