review: case 12, an evacuation whose watches' answers get lost twice

It takes the place of the case on a raised header limit (DENIED), which was the least grave. The readers restart a watch that lacks a change only once for each revision: if the answer to the restarted watch is lost as well, all gateways go on sending to the evacuated zone until the watch times out (EVAC).

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,11 +17,11 @@
 
 // cases are the scripted cases by name. trouble is false if the case runs without its disruption.
 var cases = map[string]func(w *world, trouble bool) (result, error){
-	"keys":    keysTaken,
-	"leaving": leaving,
-	"lost":    machinesLost,
-	"weights": weights,
-	"limits":  limitsRaised,
+	"evacuated": evacuated,
+	"keys":      keysTaken,
+	"leaving":   leaving,
+	"lost":      machinesLost,
+	"weights":   weights,
 }
 
 func main() {
--- a/review/rig3/weights.go
+++ b/review/rig3/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -94,3 +95,8 @@
 	}
 	return n
 }
+
+func firstLine(s string) string {
+	l, _, _ := strings.Cut(s, "\n")
+	return fmt.Sprintf("%q", l)
+}
