catalog: notice lost answers to watches of every kind

Cause: whether a watch had missed a change was judged by the newest revision held of any kind, so that a later change of another kind hid it, and the watches were restarted once for each revision, so that a second lost answer was not noticed. Meanwhile the answers to the watch of the configurations confirmed the copy. Both cases are one check.

Change: each answer to the watch of the configurations names a state of the store. Every kind that has not been read up to it is read at once, without a wait, and the copy is confirmed as of that answer only when all of them have been. While one can't be read, the copy is not confirmed, and it is tried again with each answer. A kind whose changes can't be read is listed, also when an object without a name among them made that necessary: the listing was skipped, since the position had moved on. A digest takes the time of the confirmation before the positions, not after.

--- a/process/catalog/catalog_test.go
+++ b/process/catalog/catalog_test.go
@@ -391,11 +391,11 @@
 	}{
 		{"just confirmed", 0, confirmInterval},
 		{"after a batch", batchDelay, confirmInterval - batchDelay},
-		{"overdue", 2 * confirmInterval, minConfigurationWait},
+		{"overdue", 2 * confirmInterval, minWait},
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
-			f.recordResult(t.Context(), Configurations, nil)
+			f.confirm(t.Context(), at(1), c.Now())
 			c.Advance(r.since)
 			if got := f.configurationWait(); got != r.wait {
 				t.Errorf("wait of the watch %s, want %s", got, r.wait)
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,12 +22,13 @@
 	// watchTimeoutMargin is added to the requested wait of a watch call to get the timeout of the call.
 	watchTimeoutMargin = 700 * time.Millisecond
 	// confirmInterval is the longest time between two answers to the configuration watch, the one watch that also shows
-	// whether the store answers at all. Together with watchTimeoutMargin it stays well within the 2 s in which a change
-	// has to take effect.
+	// whether the store answers at all and up to which state the other kinds have to be read. Together with
+	// watchTimeoutMargin it stays well within the 2 s in which a change has to take effect.
 	confirmInterval = 800 * time.Millisecond
-	// minConfigurationWait is the shortest wait of the configuration watch. It applies when this VM has just begun to
-	// read, since the other members wait for the store's first answer to it, which confirms that its data is current.
-	minConfigurationWait = time.Millisecond
+	// minWait is the wait of a watch that only has to return the present changes, and the shortest one of the
+	// configuration watch. The latter applies when this VM has just begun to read, since the other members wait for the
+	// store's first answer, which confirms that its data is current.
+	minWait = time.Millisecond
 	// watchWait is the wait of all other watches.
 	watchWait = 20 * time.Second
 	// batchDelay is the pause after a watch that returned changes, in which more changes accumulate for the next one;
@@ -46,8 +48,6 @@
 	storeCheckInterval = 20 * time.Millisecond
 	// maxListingWait is how long the configuration watch waits for the listings of the other kinds.
 	maxListingWait = 500 * time.Millisecond
-	// maxWatchLag is how long the watches may lag behind the store's revision before they are restarted.
-	maxWatchLag = 500 * time.Millisecond
 )
 
 // Follower copies the store into a catalog while this VM is one of the readers, with a goroutine for each kind.
@@ -67,23 +67,24 @@
 	unreadable [KindCount]bool
 	// awaitingFirstAnswer is true until the store first answers a call for the configurations after Start.
 	awaitingFirstAnswer bool
-	// confirmedAt is when the store last answered a call for the configurations, which shows that the catalog is
-	// current.
+	// confirmedAt is when the store last gave an answer up to whose state every kind has been read: the catalog was
+	// current then.
 	confirmedAt clock.Instant
-	// restartWatches is closed to cancel the watches under way, so that each kind is watched anew.
-	restartWatches chan struct{}
+	// restarts holds for each kind the channel that is closed to cancel its calls under way, so that it is watched anew.
+	restarts [KindCount]chan struct{}
+	// listAgain is whether a kind has to be listed, since its changes can't be read.
+	listAgain [KindCount]bool
 	// newestEra is the latest era of the store that has been seen in an answer.
 	newestEra ident.Era
-	// missedRevision is a revision of the store that a watch may have missed, or zero; missedFirstSeenAt is when it was
-	// first seen, and checkedRevision is the last revision for which the watches were restarted.
-	missedRevision    ident.Revision
-	missedFirstSeenAt clock.Instant
-	checkedRevision   ident.Revision
 }
 
 // NewFollower returns a follower that has not been started.
 func NewFollower(g *Catalog, s Source, c clock.Clock, l zerolog.Logger) *Follower {
-	return &Follower{catalog: g, source: s, clock: c, log: l, restartWatches: make(chan struct{})}
+	f := &Follower{catalog: g, source: s, clock: c, log: l}
+	for k := range f.restarts {
+		f.restarts[k] = make(chan struct{})
+	}
+	return f
 }
 
 // Run removes targets that did not register again after an outage, until the context ends; then it stops reading.
@@ -135,6 +136,9 @@
 	since, failed := asOf[k], Position{}
 	for ctx.Err() == nil {
 		f.waitForStore(ctx, k)
+		if f.takeListAgain(k) {
+			since, failed = Position{}, Position{}
+		}
 		if !since.Known() || since.Era < f.currentEra() {
 			since = f.resumeFrom(k, failed)
 		}
@@ -156,6 +160,15 @@
 	}
 }
 
+// takeListAgain reports whether a kind has to be listed, and forgets it.
+func (f *Follower) takeListAgain(k Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	again := f.listAgain[k]
+	f.listAgain[k] = false
+	return again
+}
+
 // resumeFrom returns the position up to which other readers have brought the catalog since the last watch failed, if it
 // is of the store's current era; otherwise it returns the zero value, which means that the kind has to be listed.
 // Unlike a listing, a watch also shows what has been written and undone since then.
@@ -232,9 +245,21 @@
 	if f.newestEra != 0 {
 		f.log.Warn().Uint64("Era", uint64(e)).Msg("store came back from an older copy; listing all kinds again")
 	}
-	f.newestEra, f.missedRevision, f.checkedRevision = e, 0, 0
-	close(f.restartWatches)
-	f.restartWatches = make(chan struct{})
+	f.newestEra = e
+	f.restartAll()
+}
+
+// restartAll cancels the calls under way of all kinds; the lock must be held.
+func (f *Follower) restartAll() {
+	for k := range KindCount {
+		f.restart(k)
+	}
+}
+
+// restart cancels the calls under way of a kind, so that it is watched anew; the lock must be held.
+func (f *Follower) restart(k Kind) {
+	close(f.restarts[k])
+	f.restarts[k] = make(chan struct{})
 }
 
 func (f *Follower) listPage(ctx context.Context, k Kind, after string, s Freshness) (Page, error) {
@@ -252,7 +277,9 @@
 			f.waitForListings(ctx)
 			wait = f.configurationWait()
 		}
+		since = f.newestPosition(k, since)
 		b, err := f.watchOnce(ctx, k, since, wait)
+		answeredAt := f.clock.Now()
 		if errors.Is(err, errWatchRestarted) {
 			return since
 		}
@@ -282,8 +309,9 @@
 			return Position{}
 		}
 		since = b.AsOf
-		if k == Configurations {
-			f.checkMissedChanges(b.AsOf.Revision)
+		if k == Configurations && !f.confirm(ctx, b.AsOf, answeredAt) {
+			f.backOff(ctx)
+			continue
 		}
 		if len(b.Changes) > 0 {
 			clock.Sleep(ctx, batchDelay)
@@ -298,7 +326,7 @@
 // other members, which need it in time.
 func (f *Follower) configurationWait() time.Duration {
 	_, confirmedAt := f.Reading()
-	return max(confirmInterval-f.clock.Now().Sub(confirmedAt), minConfigurationWait)
+	return max(confirmInterval-f.clock.Now().Sub(confirmedAt), minWait)
 }
 
 // errWatchRestarted means that this process cancelled a watch in order to restart it.
@@ -309,7 +337,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
 	f.mu.Lock()
-	r := f.restartWatches
+	r := f.restarts[k]
 	f.mu.Unlock()
 	done := make(chan struct{})
 	defer close(done)
@@ -333,34 +361,75 @@
 	return b, err
 }
 
-// checkMissedChanges compares the store's revision with those up to which the kinds are current. If the watches don't
-// reach a newer revision within maxWatchLag, one of them has missed it, or it belongs to a kind that isn't followed:
-// the watches are restarted once for each such revision.
-func (f *Follower) checkMissedChanges(store ident.Revision) {
-	changed, asOf := f.catalog.Positions()
-	newestHeldRevision := changed[Configurations].Revision
-	for k, p := range asOf {
-		if Kind(k) != Configurations && p.Era == asOf[Configurations].Era {
-			newestHeldRevision = max(newestHeldRevision, p.Revision)
+// newestPosition returns the position up to which a kind has been read in the era of a watch, which is later than the
+// watch's own if the kind was read up to it in another way meanwhile.
+func (f *Follower) newestPosition(k Kind, since Position) Position {
+	_, asOf := f.catalog.Positions()
+	if p := asOf[k]; p.Era == since.Era && since.Before(p) {
+		return p
+	}
+	return since
+}
+
+// catchUp reads every kind that has not been read up to a state of the store, and reports whether each then has been
+// whose changes have to take effect in time. The answer to a watch may get lost, and nothing else shows that: the watch
+// of another kind returns only changes of that kind, and its own is not answered before its wait ends.
+func (f *Follower) catchUp(ctx context.Context, store Position) bool {
+	_, asOf := f.catalog.Positions()
+	var w sync.WaitGroup
+	for _, k := range f.catalog.Kinds() {
+		if asOf[k].Known() && asOf[k].Era == store.Era && asOf[k].Before(store) {
+			w.Go(func() { f.readChanges(ctx, k, asOf[k]) })
+		}
+	}
+	w.Wait()
+	_, asOf = f.catalog.Positions()
+	return !slices.ContainsFunc(f.catalog.Kinds(), func(k Kind) bool { return k != Members && asOf[k].Before(store) })
+}
+
+// readChanges reads the changes of a kind since a position without waiting for more. The watch of the kind is restarted
+// if it has missed any, or has to read them in another way.
+func (f *Follower) readChanges(ctx context.Context, k Kind, since Position) {
+	b, err := f.watchOnce(ctx, k, since, minWait)
+	if errors.Is(err, errWatchRestarted) {
+		return
+	}
+	if err == nil && b.AsOf.Era != since.Era {
+		f.recordEra(b.AsOf.Era)
+		return
+	}
+	list := errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrUnreadable) || b.LeftOut > 0
+	if !list {
+		f.recordResult(ctx, k, err)
+		if err != nil {
+			return
+		}
+		f.catalog.Apply(k, b)
+		if len(b.Changes) == 0 {
+			return
 		}
 	}
+	f.log.Info().Str("Kind", k.String()).Uint64("Since", uint64(since.Revision)).Int("Changes", len(b.Changes)).
+		Bool("List", list).Msg("watch has missed changes; restarting it")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	if newestHeldRevision >= f.missedRevision {
-		f.missedRevision = 0
+	f.listAgain[k] = f.listAgain[k] || list
+	f.restart(k)
+}
+
+// confirm reads every kind up to a state of the store that it has shown at the given instant, and reports whether the
+// catalog was current then.
+func (f *Follower) confirm(ctx context.Context, store Position, at clock.Instant) bool {
+	if !f.catchUp(ctx, store) || !f.catalog.ofOneEra() {
+		return false
 	}
-	switch {
-	case store <= newestHeldRevision || store <= f.checkedRevision:
-	case f.missedRevision == 0:
-		f.missedRevision, f.missedFirstSeenAt = store, now
-	case now.Sub(f.missedFirstSeenAt) >= maxWatchLag:
-		f.checkedRevision, f.missedRevision = store, 0
-		f.log.Info().Uint64("Store", uint64(store)).Uint64("Known", uint64(newestHeldRevision)).
-			Msg("watches may have missed a change; restarting them")
-		close(f.restartWatches)
-		f.restartWatches = make(chan struct{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lacksKind() {
+		return false
 	}
+	f.confirmedAt = at
+	return true
 }
 
 // recordResult records whether the store answered a call. The first failure also cancels the other watches, which would
@@ -377,7 +446,6 @@
 		if k == Configurations {
 			f.awaitingFirstAnswer = false
 			if f.catalog.ofOneEra() && !f.lacksKind() {
-				f.confirmedAt = now
 				f.catalog.RecordServed(now, now)
 			}
 		}
@@ -396,8 +464,7 @@
 	if f.outageStart == 0 {
 		f.outageStart = now
 		f.log.Warn().Str("Kind", k.String()).Err(err).Msg("store lost")
-		close(f.restartWatches)
-		f.restartWatches = make(chan struct{})
+		f.restartAll()
 	}
 }
 
--- /dev/null
+++ b/process/catalog/lost_answer_test.go
@@ -0,0 +1,176 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/process/clock"
+)
+
+// lossyStore is a store whose answers to the watches of some kinds get lost: the call is not answered before its
+// timeout. Unlike those of fakeStore, its watches wait as long as they are asked to.
+type lossyStore struct {
+	*fakeStore
+
+	mu sync.Mutex
+	// losses is how many more answers with changes get lost for each kind, and lastLossAt when the last one did.
+	losses     [KindCount]int
+	lastLossAt time.Time
+}
+
+// lose has the next answers with changes of a kind get lost.
+func (s *lossyStore) lose(k Kind, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses[k] = n
+}
+
+func (s *lossyStore) loses(k Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.losses[k] == 0 {
+		return false
+	}
+	s.losses[k]--
+	s.lastLossAt = time.Now()
+	return true
+}
+
+func (s *lossyStore) lastLoss() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastLossAt
+}
+
+func (s *lossyStore) Watch(ctx context.Context, k Kind, since ident.Revision, wait time.Duration) (Batch, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		b, err := s.fakeStore.Watch(ctx, k, since, time.Millisecond)
+		switch {
+		case err == nil && len(b.Changes) > 0 && s.loses(k):
+			<-ctx.Done()
+			return Batch{}, ctx.Err()
+		case err != nil || len(b.Changes) > 0 || time.Now().After(deadline):
+			return b, err
+		}
+	}
+}
+
+// change writes an object of a kind that differs from all earlier ones.
+func (s *lossyStore) change(k Kind, n int) {
+	name := fmt.Sprintf("%s-%d", k, n)
+	switch k {
+	case Configurations:
+		s.put(k, "main", configuration(ident.Version(n+1)))
+	case Evacuations:
+		s.put(k, name, Evacuation{DataCentre: ident.DataCentre(name)})
+	case Rollouts:
+		s.put(k, name, Rollout{Service: ident.Service(name), NewVersion: "v2"})
+	default:
+		s.put(k, name, registration(name, false))
+	}
+}
+
+// newLossyFollower starts a follower of a new store and waits until it has read everything.
+func newLossyFollower(ctx context.Context, t interface {
+	Helper()
+	Fatalf(format string, args ...any)
+},
+) (*lossyStore, *Catalog, *Follower) {
+	t.Helper()
+	s := &lossyStore{fakeStore: newFakeStore()}
+	c := clock.New()
+	g := New(c, zerolog.Nop(), Rollouts)
+	f := NewFollower(g, s, c, zerolog.Nop())
+	f.Start(ctx, "test")
+	for range 1000 {
+		if _, confirmed := f.Reading(); confirmed != 0 {
+			return s, g, f
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("store not read within 1 s")
+	return nil, nil, nil
+}
+
+// applyBound is the time in which a change has to be in force.
+const applyBound = 2 * time.Second
+
+// TestLostAnswersNoticed checks, for each kind, that a change is read within the bound although the answers to several
+// watches that tell of it get lost, also if another kind changes at once afterwards, whose watch works. The change was
+// missed until the watch ended by itself.
+func TestLostAnswersNoticed(t *testing.T) {
+	for lost := range KindCount {
+		for other := range KindCount {
+			for losses := 1; losses <= 3; losses += 2 {
+				if other == lost && losses > 1 {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s lost %d times and %s", lost, losses, other), func(t *testing.T) {
+					t.Parallel()
+					s, g, f := newLossyFollower(t.Context(), t)
+					s.lose(lost, losses)
+					s.change(lost, 0)
+					time.Sleep(50 * time.Millisecond)
+					s.change(other, 1)
+					for !g.holds(s.fakeStore) {
+						if at := s.lastLoss(); !at.IsZero() && time.Since(at) > applyBound+watchTimeoutMargin {
+							t.Fatalf("change of %s not read within %s of the end of the losses", lost, applyBound)
+						}
+						time.Sleep(time.Millisecond)
+					}
+					if reading, _ := f.Reading(); !reading {
+						t.Error("follower has stopped")
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestLostAnswersNeverConfirm makes changes of random kinds while answers to random watches get lost, and checks that
+// the catalog holds each change that the store had accepted before the instant at which the follower says that the
+// catalog was current. A copy that lacked a change was confirmed by the answers to the watch of the configurations.
+func TestLostAnswersNeverConfirm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s, g, f := newLossyFollower(ctx, t)
+		// accepted holds, for each change, its kind, its revision, and when the store had accepted it.
+		type change struct {
+			kind     Kind
+			revision ident.Revision
+			at       clock.Instant
+		}
+		var accepted []change
+		check := func() {
+			_, confirmed := f.Reading()
+			_, asOf := g.Positions()
+			for _, c := range accepted {
+				if c.kind != Members && c.at < confirmed && asOf[c.kind].Revision < c.revision {
+					t.Fatalf("copy at revision %d of %s is confirmed %s after revision %d", asOf[c.kind].Revision, c.kind,
+						confirmed.Sub(c.at), c.revision)
+				}
+			}
+		}
+		for n := range rapid.IntRange(1, 6).Draw(t, "changes") {
+			s.lose(Kind(rapid.IntRange(0, int(KindCount)-1).Draw(t, "lost")), rapid.IntRange(0, 2).Draw(t, "losses"))
+			k := Kind(rapid.IntRange(0, int(KindCount)-1).Draw(t, "kind"))
+			s.change(k, n)
+			s.fakeStore.mu.Lock()
+			accepted = append(accepted, change{kind: k, revision: s.revision, at: f.clock.Now()})
+			s.fakeStore.mu.Unlock()
+			for range rapid.IntRange(1, 20).Draw(t, "checks") {
+				check()
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+	})
+}
--- a/process/fleet/digest.go
+++ b/process/fleet/digest.go
@@ -84,8 +84,9 @@
 
 // newDigest returns a digest of this VM's copy, with a fragment of an update unless p is nil.
 func (f *Fleet) newDigest(p *wire.Piece) *wire.Digest {
-	changed, asOf := f.catalog.Positions()
+	// The confirmation is read first: it holds for what the catalog has from then on.
 	_, confirmed := f.follower.Reading()
+	changed, asOf := f.catalog.Positions()
 	d := &wire.Digest{
 		Member: string(f.self.Name), Address: string(f.self.Address),
 		AgeMs: milliseconds(f.clock.Now().Sub(confirmed)), ServedMs: milliseconds(f.catalog.ServedFor(confirmed)), Piece: p,
