--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -128,8 +128,9 @@
 	}
 }
 
-// checkTarget checks that a request did not run at a target that had been draining for longer than inForceLimit, nor
-// at the previous service of its route when the route had changed more than inForceLimit before the request was sent.
+// checkTarget checks that a request did not run at a target that had been draining for longer than inForceLimit or was
+// in a data centre that had been evacuated for longer than evacuationLimit, nor at the previous service of its route
+// when the route had changed more than inForceLimit before the request was sent.
 // Shortly after a fault of the VM or the store these bounds do not hold, so that nothing is checked.
 func (s *soak) checkTarget(v *vm, path, id string, a *answer, target string, at time.Time) {
 	v.mu.Lock()
@@ -139,6 +140,8 @@
 	settled = settled && s.storeFaults == 0 && a.sentAt.Sub(s.storeFaultEnd) > settleTime
 	drainStart, draining := s.drainStart[target]
 	service, moved, want := s.serviceOf[target], s.routeMovedAt, s.routeService
+	evacuated := s.evacuated != "" && s.dataCentreOf[target] == s.evacuated
+	evacuatedAt := s.evacuatedAt
 	s.mu.Unlock()
 	if !settled {
 		return
@@ -146,6 +149,10 @@
 	if draining && at.Sub(drainStart) > inForceLimit && a.sentAt.Sub(drainStart) > 0 {
 		s.addViolation(fmt.Sprintf("request %s ran at %s, %s after it began to drain", id, target, at.Sub(drainStart)))
 	}
+	if evacuated && at.Sub(evacuatedAt) > evacuationLimit && a.sentAt.Sub(evacuatedAt) > 0 {
+		s.addViolation(fmt.Sprintf("request %s ran at %s, %s after its data centre was evacuated", id, target,
+			at.Sub(evacuatedAt)))
+	}
 	if strings.HasPrefix(path, "/move/") && a.sentAt.Sub(moved) > inForceLimit && service != want {
 		s.addViolation(fmt.Sprintf("request %s ran at service %s, %s after its route moved to %s",
 			id, service, a.sentAt.Sub(moved), want))
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/amaranthramp/amaranthramp/bench/relay"
+	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/platform"
 	"github.com/amaranthramp/amaranthramp/standin/objects"
 	"github.com/amaranthramp/amaranthramp/standin/target"
@@ -50,6 +51,11 @@
 	{"store does not answer", true, false, func(s *soak, r *rand.Rand) error {
 		return s.withStoreFault(r, objects.Faults{Silent: true})
 	}},
+	{"store loses answers to watches", true, false, func(s *soak, r *rand.Rand) error {
+		l := append([]string{objects.AllKinds}, watchedKinds...)
+		return s.withStoreFault(r, objects.Faults{LoseWatches: l[r.IntN(len(l))]})
+	}},
+	{"data centre evacuated", false, true, evacuate},
 	{"store history lost", true, false, func(s *soak, _ *rand.Rand) error { s.store.Compact(); return nil }},
 	{"store restored from a copy", true, false, restoreStore},
 	{"target crashes", false, false, func(s *soak, r *rand.Rand) error { return s.replaceTarget(r, false) }},
@@ -83,6 +89,30 @@
 	}},
 }
 
+// watchedKinds are the kinds of objects that VMs watch in the store and that others write.
+var watchedKinds = []string{platform.ConfigurationKind, platform.TargetKind, platform.EvacuationKind}
+
+// evacuate takes a data centre out of service for long enough that the limit applies, and back in. Only one is out at
+// a time, so that targets remain.
+func evacuate(s *soak, r *rand.Rand) error {
+	s.evacuationMu.Lock()
+	defer s.evacuationMu.Unlock()
+	d := dataCentre(r.IntN(targetsPerService))
+	s.store.Put(platform.EvacuationKind, string(d), `{}`)
+	s.setEvacuated(d)
+	time.Sleep(evacuationLimit + randomDuration(r, 200, 2000))
+	s.setEvacuated("")
+	s.store.Delete(platform.EvacuationKind, string(d))
+	return nil
+}
+
+// setEvacuated records which data centre is evacuated as of now, if any.
+func (s *soak) setEvacuated(d ident.DataCentre) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated, s.evacuatedAt = d, time.Now()
+}
+
 // reloadOften sends a series of SIGHUP.
 func (v *vm) reloadOften(r *rand.Rand) {
 	for range 2 + r.IntN(8) {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -25,6 +25,8 @@
 	stopGrace = 6 * time.Second
 	// inForceLimit is how long a change may take to come into force after the store has acknowledged it.
 	inForceLimit = 2 * time.Second
+	// evacuationLimit is the same for the evacuation of a data centre.
+	evacuationLimit = 5 * time.Second
 	// settleTime is how long a VM must have been free of faults before the time limits apply to it.
 	settleTime = 3 * time.Second
 	// recoveryLimit is how long the VMs may take to become ready again after the last fault.
@@ -75,10 +77,12 @@
 	out     io.Writer
 	store   *objects.Store
 	// storeMu is held for as long as a fault of the store itself lasts.
-	storeMu   sync.Mutex
-	vms       []*vm
-	runLog    *target.RunLog
-	startedAt time.Time
+	storeMu sync.Mutex
+	// evacuationMu is held for as long as a data centre is evacuated.
+	evacuationMu sync.Mutex
+	vms          []*vm
+	runLog       *target.RunLog
+	startedAt    time.Time
 
 	mu      sync.Mutex
 	targets []*target.Target
@@ -86,6 +90,11 @@
 	serviceOf map[string]ident.Service
 	// versionOf holds the version of each target.
 	versionOf map[string]ident.TargetVersion
+	// dataCentreOf holds the data centre of each target.
+	dataCentreOf map[string]ident.DataCentre
+	// evacuated is the data centre that is evacuated since evacuatedAt; empty if none is.
+	evacuated   ident.DataCentre
+	evacuatedAt time.Time
 	// drainStart holds when the store acknowledged that a target drains.
 	drainStart map[string]time.Time
 	// routeMovedAt is when the route "move" last changed its service, and routeService its service since.
@@ -110,7 +119,7 @@
 	s := &soak{
 		options: o, out: out, store: objects.New(), runLog: target.NewRunLog(), startedAt: time.Now(),
 		versionOf: map[string]ident.TargetVersion{}, serviceOf: map[string]ident.Service{},
-		drainStart: map[string]time.Time{}, routeService: services[0],
+		drainStart: map[string]time.Time{}, dataCentreOf: map[string]ident.DataCentre{}, routeService: services[0],
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -245,10 +254,12 @@
 	}
 	t.Version = n
 	t.SetDefect(d)
-	e, err := platform.EncodeTarget(t.Registration(v, dataCentre(s.lastTarget)), 0)
+	home := dataCentre(s.lastTarget)
+	e, err := platform.EncodeTarget(t.Registration(v, home), 0)
 	if err != nil {
 		return err
 	}
+	s.dataCentreOf[t.ID] = home
 	s.targets = append(s.targets, t)
 	s.serviceOf[t.ID], s.versionOf[t.ID] = v, n
 	s.store.Put(platform.TargetKind, t.ID, e)
@@ -273,7 +284,9 @@
 	}
 	if drain {
 		t.Leaving.Store(true)
-		g := t.Registration(v, dataCentre(0))
+		s.mu.Lock()
+		g := t.Registration(v, s.dataCentreOf[t.ID])
+		s.mu.Unlock()
 		g.Draining = true
 		e, err := platform.EncodeTarget(g, 0)
 		if err != nil {
