platform: what can't be used in a configuration costs its entry only

Cause: the configuration was decoded as one value, so that the first odd one rejected it all, and numbers had types that can't hold what the store accepts.

Change: each entry is read by itself. Numbers may have fractions, any size and any notation. What can't be used is reported with its place, without the value, in a log line of its own, and costs that entry: a tenant whose name no header can carry, a key that two tenants have, a part of a split or a route without a readable service, which keeps its requests from other routes and answers 503. Requests need a key even if no tenant can be read. A service that is named but not defined gets the default settings. Only a configuration whose version can't be told is rejected. A version of the same number replaces the one in force, since the store has it in its place.

TestDecodeInvalidConfiguration, TestDecodeInvalidTeams and TestDecodeTenantsOfWrongType demanded that such a version is rejected as a whole, which is the fault; they now demand the same findings, without values, and that the rest takes effect.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -68,6 +68,9 @@
 // Weight is the relative weight of a request class, or of a service that shares the requests of a route.
 type Weight int
 
+// SplitWeight determines the share of a service in the requests of a route that several services share.
+type SplitWeight float64
+
 // Team is the name of a team, whose callers share API keys and an allowance.
 type Team string
 
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -339,6 +339,7 @@
 			Bool("Draining", v.Target.Draining).Msg("target registered")
 	case Configuration:
 		e.Uint64("Version", uint64(v.Table.Version)).Int("Routes", v.Table.Routes()).Msg("configuration read")
+		g.logFindings(v)
 	case Evacuation:
 		e.Msg("data centre taken out")
 	case Membership:
@@ -349,6 +350,18 @@
 	}
 }
 
+// logFindings logs which entries of a configuration can't be used, the first maxLoggedChanges one by one.
+func (g *Catalog) logFindings(c Configuration) {
+	for i, err := range c.Findings {
+		e := g.log.Warn().Uint64("Version", uint64(c.Table.Version))
+		if i == maxLoggedChanges {
+			e.Int("Entries", len(c.Findings)-i).Msg("many entries of the configuration can't be used")
+			return
+		}
+		e.Err(err).Msg("entry of the configuration can't be used")
+	}
+}
+
 // finishRemoval remembers that a record has been removed, and stops retaining it if it was a target retained after an
 // outage of the store.
 func (g *Catalog) finishRemoval(k Kind, r Record) {
@@ -358,14 +371,15 @@
 	}
 }
 
-// publish builds a view from the records and publishes it. The table never reverts to an older version.
+// publish builds a view from the records and publishes it. The table never reverts to an older version; one of the same
+// number replaces it, since the store has it in its place.
 func (g *Catalog) publish() {
 	v := &View{Positions: g.asOf, MembersAt: g.lastChange[Members], Complete: true}
 	for _, k := range g.kinds {
 		v.Complete = v.Complete && g.records[k] != nil
 	}
 	for _, r := range g.records[Configurations] {
-		if c, ok := r.Entry.(Configuration); ok && (g.table == nil || c.Table.Version > g.table.Version) {
+		if c, ok := r.Entry.(Configuration); ok && (g.table == nil || c.Table.Version >= g.table.Version) {
 			g.table = c.Table
 		}
 	}
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -48,7 +48,11 @@
 }
 
 // Configuration is a version of the routing table.
-type Configuration struct{ Table *route.Table }
+type Configuration struct {
+	Table *route.Table
+	// Findings says which entries of the version can't be used; the rest of it takes effect.
+	Findings []error
+}
 
 // Registration is the entry that a target has written to register itself.
 type Registration struct{ Target roster.Target }
--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -123,9 +123,9 @@
 
 // whereServices adds the services of a route.
 func (g *Gateway) whereServices(w *Where, t *route.Table, o *route.Route) {
-	total := 0
+	total := ident.SplitWeight(0)
 	for _, s := range o.Services {
-		total += int(s.Weight)
+		total += s.Weight
 	}
 	loads := g.chooser.Loads()
 	for i, s := range o.Services {
@@ -133,7 +133,7 @@
 		x := WhereService{Service: s.Service, Partitioned: g.detours.Partitioned(s.Service)}
 		switch {
 		case total > 0:
-			x.Share = ident.Share(float64(s.Weight) / float64(total))
+			x.Share = ident.Share(s.Weight / total)
 		case i == 0:
 			x.Share = 1
 		}
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -31,7 +31,7 @@
 // WeightedService is a service of a route and the weight that determines its share of the requests.
 type WeightedService struct {
 	Service ident.Service
-	Weight  ident.Weight
+	Weight  ident.SplitWeight
 }
 
 // Service is the configuration of a service, which applies to each of its targets.
@@ -57,19 +57,20 @@
 
 // PickService selects a service for a request at random, in proportion to the weights.
 func (r *Route) PickService() ident.Service {
-	total := 0
+	total := ident.SplitWeight(0)
 	for _, b := range r.Services {
-		total += int(b.Weight)
+		total += b.Weight
 	}
-	if total <= 0 {
-		return r.Services[0].Service
-	}
-	n := rand.IntN(total)
+	n := ident.SplitWeight(rand.Float64()) * total
+	last := r.Services[0].Service
 	for _, b := range r.Services {
-		if n < int(b.Weight) {
+		if n < b.Weight {
 			return b.Service
 		}
-		n -= int(b.Weight)
+		if b.Weight > 0 {
+			last = b.Service
+		}
+		n -= b.Weight
 	}
-	return r.Services[0].Service
+	return last
 }
--- a/version/route/route_test.go
+++ b/version/route/route_test.go
@@ -77,14 +77,16 @@
 	}
 }
 
-// TestServiceShares checks that each service gets its share of the requests by weight, within a tenth of all requests.
+// TestServiceShares checks that each service gets its share of the requests by weight, whole or not, within a tenth of
+// all requests.
 func TestServiceShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 4).Draw(t, "weights")
 		r := Route{}
 		total := 0
 		for i, n := range w {
-			r.Services = append(r.Services, WeightedService{Service: ident.Service(rune('a' + i)), Weight: ident.Weight(n)})
+			r.Services = append(r.Services,
+				WeightedService{Service: ident.Service(rune('a' + i)), Weight: ident.SplitWeight(n) / 8})
 			total += n
 		}
 		const draws = 2000
--- a/version/route/table.go
+++ b/version/route/table.go
@@ -32,7 +32,8 @@
 	route *Route
 }
 
-// New returns a table; its error lists every invalid route.
+// New returns a table. Its error lists every finding on a route; the table has each route with a host, a prefix and a
+// service all the same.
 func New(v ident.Version, l Limits, services []Service, routes []Route) (*Table, error) {
 	t := &Table{Version: v, Limits: l, Services: map[ident.Service]Service{}, byHost: map[string][]prefix{}}
 	for _, s := range services {
@@ -42,6 +43,8 @@
 	for _, r := range routes {
 		if err := t.validate(&r); err != nil {
 			errs = append(errs, err)
+		}
+		if r.Host == "" || r.Prefix == "" || len(r.Services) == 0 {
 			continue
 		}
 		t.routes++
--- a/version/team/directory.go
+++ b/version/team/directory.go
@@ -48,6 +48,11 @@
 	return d, nil
 }
 
+// Empty returns a directory without teams.
+func Empty() *Directory {
+	return &Directory{}
+}
+
 // check returns the findings of one team, whose number is n.
 func check(n int, t *Team) []error {
 	var errs []error
