credential: accept API keys of any length that a header can carry

Cause: keys of more than 256 bytes, or with other than visible ASCII characters, were rejected, in the configuration and in the header, and the finding rejected the whole version. The limit on the header of a request bounds their length.

--- a/request/credential/credential.go
+++ b/request/credential/credential.go
@@ -8,12 +8,8 @@
 // Header is the name of the header that carries the API key of a caller.
 const Header = "Authorization"
 
-const (
-	// scheme is what comes before the key in the header.
-	scheme = "Token "
-	// maxKeyBytes is the longest accepted key. The keys in use have 20 bytes.
-	maxKeyBytes = 256
-)
+// scheme is what comes before the key in the header.
+const scheme = "Token "
 
 // Credential is what a request holds as proof of its team: a Key, Absent or Unreadable.
 type Credential interface{ credential() }
@@ -34,10 +30,8 @@
 const (
 	// Duplicated means that there are several headers.
 	Duplicated Problem = "duplicated"
-	// Malformed means that the header is not the word Token, one space and a key of visible ASCII characters.
+	// Malformed means that the header is not the word Token, one space and a key.
 	Malformed Problem = "malformed"
-	// Oversized means that the key is longer than any that is accepted.
-	Oversized Problem = "oversized"
 )
 
 func (Key) credential()        {}
@@ -69,22 +63,18 @@
 		return Unreadable{Duplicated}
 	}
 	k, ok := strings.CutPrefix(l[0], scheme)
-	switch {
-	case !ok:
-		return Unreadable{Malformed}
-	case len(k) > maxKeyBytes:
-		return Unreadable{Oversized}
-	case !Sendable(k):
+	if !ok || !Sendable(k) {
 		return Unreadable{Malformed}
 	}
 	return Key(k)
 }
 
-// Sendable reports whether a request can carry the key: it is neither empty nor too long and has visible ASCII
-// characters only.
+// Sendable reports whether a request can carry the key: it is not empty, has no control characters but the tab, and
+// neither begins nor ends with white space, which is no part of a header's value. The limit on the header of a request
+// bounds its length.
 func Sendable(key string) bool {
-	return key != "" && len(key) <= maxKeyBytes &&
-		!strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' })
+	return key != "" && strings.Trim(key, " \t") == key &&
+		!strings.ContainsFunc(key, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
 }
 
 // Strip removes the Authorization headers and those with the given names, whatever the case of their names.
