fleet: readers that stay when the preferred ones are gone

Cause: a reader stopped as soon as there were two other fresh ones, whoever they were. Where the members of ranks 0 and 1 are gone, the others began together and stopped together.

Change: a reader stops only if two fresh readers come before it in the order of rank, or if the store does not answer it and two others are fresh.

--- a/process/fleet/reader.go
+++ b/process/fleet/reader.go
@@ -20,11 +20,33 @@
 		f.mu.Lock()
 		f.readingSince = now
 		f.mu.Unlock()
-	case reason == "" && reading && now.Sub(since) >= minReaderTime:
+	case reason == "" && reading && now.Sub(since) >= minReaderTime && f.isSurplusReader(now):
 		f.follower.Stop("enough other readers")
 	}
 }
 
+// isSurplusReader reports whether enough fresh readers come before this VM in the order of rank or, if the store does
+// not answer this VM, whether there are enough at all. Readers that only counted the others would all stop together
+// when the preferred ones are gone.
+func (f *Fleet) isSurplusReader(now clock.Instant) bool {
+	_, confirmed := f.follower.Reading()
+	t := f.topology()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for v, h := range f.readers {
+		if h.isFresh(now) && (t.rank(v) < t.rank(f.self.Name) || now.Sub(confirmed) >= staleAfter) {
+			n++
+		}
+	}
+	return n >= desiredReaders
+}
+
+// isFresh reports whether a reader is active and the store has confirmed its copy within readerTimeout plus staleAfter.
+func (r *readerState) isFresh(now clock.Instant) bool {
+	return now.Sub(r.receivedAt) < readerTimeout && now.Sub(r.confirmedAt) < readerTimeout+staleAfter
+}
+
 // reasonToRead returns why this VM has to read the store, or "" if it need not.
 func (f *Fleet) reasonToRead(now, started clock.Instant) string {
 	t := f.topology()
@@ -48,13 +70,13 @@
 	return s.reasonToRead()
 }
 
-// countFreshReaders counts the active readers whose copy the store confirmed within readerTimeout plus staleAfter.
+// countFreshReaders counts the fresh readers other than this VM.
 func (f *Fleet) countFreshReaders(now clock.Instant) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, h := range f.readers {
-		if now.Sub(h.receivedAt) < readerTimeout && now.Sub(h.confirmedAt) < readerTimeout+staleAfter {
+		if h.isFresh(now) {
 			n++
 		}
 	}
