allowance: replace the keepers that are lost, with claims that lapse

Cause: keepers were chosen among all registrations, which nothing removes, and a keeper kept its part for ever: nobody could have taken it over without both giving out tokens.

Change: the entry of a member in the store has a standing. A reader of the store marks members that do not answer as absent, at once if the allowances may not suffice without them (more than one data centre affected, or requests refused while a keeper does not answer), or else after 12 s; keepers are chosen among the others. A keeper gives out tokens only for 3 s after a proof that its list of keepers was in force: a reader answers its ask with the age of what the store, or else all members on the list, have shown, counted from when the ask was sent, so that neither a pause nor a late datagram makes it younger. A new keeper begins 3.5 s after it has learned that it is one, when the old one has stopped. A VM that returns marks itself as returning, so that its substitutes stop, and begins 3.5 s later. A VM that was without a proof begins anew with the teams that it keeps only in the place of others.

--- a/process/catalog/carried_over.go
+++ b/process/catalog/carried_over.go
@@ -35,8 +35,9 @@
 
 // carriedMember is a VM that is carried over until the given instant.
 type carriedMember struct {
-	member roster.Member
-	until  clock.Instant
+	member   roster.Member
+	standing Standing
+	until    clock.Instant
 }
 
 // carriedRollout is an order that is carried over until the given instant.
@@ -99,7 +100,7 @@
 		for name, r := range old {
 			e, ok := r.Entry.(Membership)
 			if _, still := listed[name]; ok && !still {
-				c.members[e.Member.Name] = carriedMember{member: e.Member, until: end}
+				c.members[e.Member.Name] = carriedMember{member: e.Member, standing: e.Standing, until: end}
 			}
 		}
 	}
--- a/process/catalog/catalog.go
+++ b/process/catalog/catalog.go
@@ -27,6 +27,9 @@
 	// change to them.
 	Members   []roster.Member
 	MembersAt Position
+	// States holds the states of Members, in the same order, and Keepers those of them that may keep allowances.
+	States  []MemberState
+	Keepers []roster.Member
 	// Unregistered holds those of Members whose registrations the store has lost by coming back from an older copy.
 	Unregistered map[ident.VM]bool
 	// Rollouts holds the orders of roll-outs by service; nil if they are not followed.
@@ -35,6 +38,23 @@
 	Complete bool
 }
 
+// MemberState is what the store has of a VM beside its entry.
+type MemberState struct {
+	Standing Standing
+	// Revision is the revision of the entry; zero if the store has lost it.
+	Revision ident.Revision
+}
+
+// StateOf returns the state of a VM; false if it isn't registered.
+func (v *View) StateOf(n ident.VM) (MemberState, bool) {
+	for i := range v.Members {
+		if v.Members[i].Name == n {
+			return v.States[i], true
+		}
+	}
+	return MemberState{}, false
+}
+
 // Catalog is a copy of the store's records and publishes the latest view of them; it is safe for concurrent use.
 type Catalog struct {
 	clock clock.Clock
@@ -397,11 +417,19 @@
 	for _, r := range g.records[Members] {
 		if e, ok := r.Entry.(Membership); ok {
 			v.Members = append(v.Members, e.Member)
+			v.States = append(v.States, MemberState{Standing: e.Standing, Revision: r.Revision})
+			if e.Standing != Absent {
+				v.Keepers = append(v.Keepers, e.Member)
+			}
 		}
 	}
 	v.Unregistered = map[ident.VM]bool{}
 	for name, m := range g.carried.members {
 		v.Members = append(v.Members, m.member)
+		v.States = append(v.States, MemberState{Standing: m.standing})
+		if m.standing != Absent {
+			v.Keepers = append(v.Keepers, m.member)
+		}
 		v.Unregistered[name] = true
 	}
 	for _, r := range g.records[Evacuations] {
--- a/process/catalog/catalog_test.go
+++ b/process/catalog/catalog_test.go
@@ -173,6 +173,9 @@
 func (m *fakeStore) Register(context.Context, roster.Member) (Position, error) {
 	return Position{}, nil
 }
+func (m *fakeStore) WriteStanding(context.Context, roster.Member, ident.Revision, Standing) error {
+	return nil
+}
 
 func registration(id string, draining bool) Entry {
 	return Registration{Target: roster.Target{ID: ident.Target(id), Service: "s", Address: "a:1", Draining: draining}}
@@ -395,7 +398,7 @@
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
-			f.confirm(t.Context(), at(1), c.Now())
+			f.confirm(t.Context(), at(1), c.Now(), c.Now())
 			c.Advance(r.since)
 			if got := f.configurationWait(); got != r.wait {
 				t.Errorf("wait of the watch %s, want %s", got, r.wait)
--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -70,6 +70,9 @@
 	// confirmedAt is when the store last gave an answer up to whose state every kind has been read: the catalog was
 	// current then.
 	confirmedAt clock.Instant
+	// provenAt is when the call was sent whose answer showed the last state of the store up to which every kind has been
+	// read, the members too. Unlike confirmedAt it is never too late, even if this process was paused meanwhile.
+	provenAt clock.Instant
 	// restarts holds for each kind the channel that is closed to cancel its calls under way, so that it is watched anew.
 	restarts [KindCount]chan struct{}
 	// listAgain is whether a kind has to be listed, since its changes can't be read.
@@ -278,6 +281,7 @@
 			wait = f.configurationWait()
 		}
 		since = f.newestPosition(k, since)
+		sentAt := f.clock.Now()
 		b, err := f.watchOnce(ctx, k, since, wait)
 		answeredAt := f.clock.Now()
 		if errors.Is(err, errWatchRestarted) {
@@ -309,7 +313,7 @@
 			return Position{}
 		}
 		since = b.AsOf
-		if k == Configurations && !f.confirm(ctx, b.AsOf, answeredAt) {
+		if k == Configurations && !f.confirm(ctx, b.AsOf, sentAt, answeredAt) {
 			f.backOff(ctx)
 			continue
 		}
@@ -417,9 +421,9 @@
 	f.restart(k)
 }
 
-// confirm reads every kind up to a state of the store that it has shown at the given instant, and reports whether the
-// catalog was current then.
-func (f *Follower) confirm(ctx context.Context, store Position, at clock.Instant) bool {
+// confirm reads every kind up to a state of the store that the answer to a call has shown, and reports whether the
+// catalog was current when the answer came.
+func (f *Follower) confirm(ctx context.Context, store Position, sentAt, answeredAt clock.Instant) bool {
 	if !f.catchUp(ctx, store) || !f.catalog.ofOneEra() {
 		return false
 	}
@@ -428,10 +432,24 @@
 	if f.lacksKind() {
 		return false
 	}
-	f.confirmedAt = at
+	f.confirmedAt = answeredAt
+	if _, asOf := f.catalog.Positions(); !asOf[Members].Before(store) {
+		f.provenAt = sentAt
+	}
 	return true
 }
 
+// ProvenAt returns an instant as of which the catalog, with the members, is known to have been current; zero if there
+// is none or this VM does not read the store.
+func (f *Follower) ProvenAt() clock.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel == nil {
+		return 0
+	}
+	return f.provenAt
+}
+
 // recordResult records whether the store answered a call. The first failure also cancels the other watches, which would
 // otherwise go on waiting for a store that no longer responds.
 func (f *Follower) recordResult(ctx context.Context, k Kind, err error) {
--- a/process/catalog/source.go
+++ b/process/catalog/source.go
@@ -60,8 +60,25 @@
 // Evacuation takes a data centre out of service for as long as the object exists.
 type Evacuation struct{ DataCentre ident.DataCentre }
 
+// Standing says whether a VM of the system may keep allowances of teams.
+type Standing string
+
+// The standings of a VM.
+const (
+	// Present is the standing of a VM that may keep allowances.
+	Present Standing = ""
+	// Absent is the standing of a VM that did not answer a reader of the store for a while. Others keep in its place.
+	Absent Standing = "Absent"
+	// Returning is the standing of a VM that runs again. It counts among the VMs that may keep allowances, but keeps none
+	// until those that kept in its place have stopped.
+	Returning Standing = "Returning"
+)
+
 // Membership is the entry of a VM of the system.
-type Membership struct{ Member roster.Member }
+type Membership struct {
+	Member   roster.Member
+	Standing Standing
+}
 
 // Rollout is an operator's order to move the traffic of a service to targets of a new version, with the status that the
 // system has last written.
@@ -148,6 +165,9 @@
 	Decode(k Kind, raw []byte) (Record, error)
 	// Register writes the entry of a member, replacing an older one, and returns the position of the entry.
 	Register(ctx context.Context, m roster.Member) (Position, error)
+	// WriteStanding replaces the standing in the entry of a member that is at the given revision. It fails if the entry
+	// has changed since.
+	WriteStanding(ctx context.Context, m roster.Member, r ident.Revision, s Standing) error
 }
 
 // RolloutWriter writes the statuses of orders to the store.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -102,6 +103,10 @@
 	handleRollout   func(*wire.RolloutMessage, ident.Address)
 	// loads exchanges the loads of targets.
 	loads Loads
+	// keepers keeps the allowances of teams on this VM, or is nil; handover is how long a VM waits before it keeps in the
+	// place of another.
+	keepers  Keepers
+	handover time.Duration
 
 	// fetchCount counts successful fetches of updates.
 	fetchCount atomic.Uint64
@@ -121,6 +126,8 @@
 	readers map[ident.VM]readerState
 	// presence is what is known of which members run.
 	presence presence
+	// statements is what members have said of the list of keepers.
+	statements statements
 	// pushState holds the revisions up to which updates have been sent to the members.
 	pushState pushState
 	// heard holds the latest digests of readers, oldest first.
@@ -163,6 +170,7 @@
 		answers:         make(chan struct{}, maxAnswers),
 		fetchQueue:      ring.New[pendingFetch](1), relayQueue: ring.New[*wire.Digest](relayQueueSize),
 		readers: map[ident.VM]readerState{}, presence: newPresence(),
+		statements: newStatements(rand.Uint64()),
 	}
 }
 
@@ -191,6 +199,9 @@
 	if len(f.catalog.Kinds()) > int(listedKinds) {
 		go f.listUncovered(ctx)
 	}
+	if f.keepers != nil {
+		go f.manageStandings(ctx)
+	}
 	f.manageReading(ctx)
 	return errors.Join(u.Close(), l.Close())
 }
--- a/process/fleet/message.go
+++ b/process/fleet/message.go
@@ -53,7 +53,7 @@
 	case d.GetAllowance() != nil:
 		f.handleAllowance(d.GetAllowance(), from)
 	case d.GetPresent():
-		f.handlePresent(ident.VM(d.GetMember()))
+		f.handlePresent(d)
 	case d.GetLoad() != nil && len(d.GetChanged()) == 0:
 		f.loads.Add(d.GetLoad(), from)
 	case d.GetRollout() != nil:
--- a/process/fleet/presence.go
+++ b/process/fleet/presence.go
@@ -44,9 +44,14 @@
 }
 
 // ask updates the silent members and reports whether they are to be asked again.
-func (p *presence) ask(now clock.Instant, self ident.VM, t *topology) bool {
+//
+// They are asked after the interval or, unless that is zero, after pause.
+func (p *presence) ask(now clock.Instant, self ident.VM, t *topology, pause time.Duration) bool {
 	d := p.interval(t.size)
-	if now.Sub(p.askedAt) < d {
+	if pause == 0 {
+		pause = d
+	}
+	if now.Sub(p.askedAt) < min(pause, d) {
 		return false
 	}
 	if now.Sub(p.askedAt) >= silentIntervals*d {
@@ -92,16 +97,21 @@
 // describePresence adds to a digest which members are silent, and at times the question whether the members run.
 func (f *Fleet) describePresence(d *wire.Digest) {
 	t, now := f.topology(), f.clock.Now()
+	pause := f.presencePause(t.size)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d.AskPresence = f.presence.ask(now, f.self.Name, t)
+	if f.presence.ask(now, f.self.Name, t, pause) {
+		d.AskPresence, d.Round = true, f.statements.begin(now)
+	}
 	d.Silent = f.presence.bits(t)
 }
 
 // handlePresent records the answer of a member.
-func (f *Fleet) handlePresent(v ident.VM) {
+func (f *Fleet) handlePresent(d *wire.Digest) {
+	v := ident.VM(d.GetMember())
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.statements.record(v, d.GetRound(), d.GetKeepers())
 	f.presence.heardAt[v] = f.clock.Now()
 	if _, ok := f.presence.silent[v]; ok {
 		n := maps.Clone(f.presence.silent)
@@ -114,7 +124,7 @@
 // answers if it asks for that.
 func (f *Fleet) followPresence(d *wire.Digest, reader ident.Address, members catalog.Position) {
 	if d.GetAskPresence() {
-		f.sendMessage(reader, &wire.Digest{Address: string(f.self.Address), Member: string(f.self.Name), Present: true})
+		f.answerPresence(d, reader)
 	}
 	t := f.topology()
 	if reading, _ := f.follower.Reading(); reading || t.at != members {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -153,6 +153,7 @@
 	y.requests, y.abandon = func() context.Context { return requests }, abandon
 	y.limiter = allowance.New(f, y.limitOf, c, l)
 	f.HandleAllowance(y.limiter.Handle)
+	f.ManageKeepers(y.limiter, allowance.HandoverDelay)
 	f.HandleReach(func(m *wire.ReachNews, from ident.Address) { d.Handle(m, from, y.acceptsForwarded()) })
 	y.registry.MustRegister(collectors.NewGoCollector())
 	y.metrics = newMetrics(y.registry, y)
@@ -199,20 +200,7 @@
 	// The background goroutines keep running until the planned stop is over.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go g.follower.Run(background)
-	go func() {
-		if err := g.fleet.Run(background); err != nil {
-			errs <- err
-		}
-	}()
-	go g.quarantine.Gossip(background, g.fleet)
-	go g.detours.Run(background, g.chooser)
-	go g.loads.run(background, g.fleet)
-	go g.followCatalog(background, callers)
-	if g.rollouts != nil {
-		go g.rollouts.run(background)
-	}
-	go g.handleReload(background)
+	g.startBackground(background, callers, errs)
 	g.log.Info().Str("CallerAddress", string(g.settings.CallerAddress)).
 		Str("DataCentre", string(g.settings.DataCentre)).Msg("gateway started")
 	select {
@@ -224,6 +212,25 @@
 	}
 }
 
+// startBackground starts the goroutines that run until the context ends. An error of the fleet goes to errs.
+func (g *Gateway) startBackground(ctx context.Context, s *callerServer, errs chan<- error) {
+	go g.follower.Run(ctx)
+	go func() {
+		if err := g.fleet.Run(ctx); err != nil {
+			errs <- err
+		}
+	}()
+	go g.quarantine.Gossip(ctx, g.fleet)
+	go g.detours.Run(ctx, g.chooser)
+	go g.loads.run(ctx, g.fleet)
+	go g.followCatalog(ctx, s)
+	go g.limiter.Run(ctx)
+	if g.rollouts != nil {
+		go g.rollouts.run(ctx)
+	}
+	go g.handleReload(ctx)
+}
+
 // listenForCallers returns a server that passes callers' requests to h.
 func (g *Gateway) listenForCallers(h http.Handler) (*callerServer, error) {
 	l, err := net.Listen("tcp", string(g.settings.CallerAddress))
@@ -254,7 +261,10 @@
 			s.setLimits(v.Table.Limits)
 		}
 		if v.Complete && v.Table != nil && v.Table.Teams != nil {
-			g.limiter.SetMembers(v.Members)
+			own, _ := v.StateOf(g.settings.Name)
+			g.limiter.SetMembers(allowance.MemberSet{
+				Registered: v.Members, Keepers: v.Keepers, Returning: own.Standing == catalog.Returning,
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/process/gateway/instrumented.go
+++ b/process/gateway/instrumented.go
@@ -53,6 +53,14 @@
 	return p, err
 }
 
+// WriteStanding writes the standing of a member and counts the call.
+func (s *instrumentedSource) WriteStanding(ctx context.Context, m roster.Member, r ident.Revision, n catalog.Standing,
+) error {
+	err := s.Store.WriteStanding(ctx, m, r, n)
+	s.count("write-standing", catalog.Members, err)
+	return err
+}
+
 // WriteRolloutStatus writes the status of an order and counts the call.
 func (s *instrumentedSource) WriteRolloutStatus(
 	ctx context.Context, v ident.Service, r ident.Revision, n rollout.Status,
--- a/request/allowance/keeper.go
+++ b/request/allowance/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -61,10 +62,19 @@
 
 // memberList is a list of members and the instant since which it has been in force.
 type memberList struct {
-	since   clock.Instant
+	since clock.Instant
+	// members are the members among which keepers are chosen.
 	members []roster.Member
 }
 
+// MemberSet is what is known of the members.
+type MemberSet struct {
+	// Registered are all members, including those that are gone, and Keepers those among which keepers are chosen.
+	Registered, Keepers []roster.Member
+	// Returning means that this member was absent, so that others may still keep in its place.
+	Returning bool
+}
+
 // Keeper holds the buckets of the teams that this member is a keeper of.
 type Keeper struct {
 	self  ident.VM
@@ -73,8 +83,13 @@
 	// that this process has known.
 	lists     []memberList
 	firstList bool
-	buckets   map[ident.Team]*heldBucket
-	sweptAt   clock.Instant
+	// registered are all members, and returning means that this one was absent.
+	registered []roster.Member
+	returning  bool
+	// provenAt is an instant as of which no later list than the last of lists was in force.
+	provenAt clock.Instant
+	buckets  map[ident.Team]*heldBucket
+	sweptAt  clock.Instant
 }
 
 // NewKeeper returns the keeper of a member; limit returns the limit of a team in the configuration in force, and false
@@ -83,18 +98,48 @@
 	return &Keeper{self: self, limit: limit, firstList: true, buckets: map[ident.Team]*heldBucket{}}
 }
 
-// SetMembers sets the list of all members, including this one, which must not change any more. Buckets of teams that
-// this member no longer keeps are removed.
-func (k *Keeper) SetMembers(now clock.Instant, l []roster.Member) {
-	k.lists = append(k.lists, memberList{since: now, members: l})
+// SetMembers sets the members, whose lists must not change any more. Buckets of teams that this member no longer keeps
+// are removed.
+func (k *Keeper) SetMembers(now clock.Instant, s MemberSet) {
+	if s.Returning && !k.returning {
+		// Others keep in the place of this member, also if no list without it was seen here.
+		k.lists, k.firstList = nil, false
+		clear(k.buckets)
+	}
+	k.registered, k.returning = s.Registered, s.Returning
+	if n := len(k.lists); n > 0 && slices.Equal(k.lists[n-1].members, s.Keepers) {
+		return
+	}
+	k.lists = append(k.lists, memberList{since: now, members: s.Keepers})
 	k.forgetLists(now)
 	for t := range k.buckets {
-		if !k.keeps(t, l) {
+		if !k.keeps(t, s.Keepers) {
 			delete(k.buckets, t)
 		}
 	}
 }
 
+// Prove records that no later list than the present one was in force at an instant. Without a proof of the last
+// claimLifetime the keeper gives out no tokens: others may keep in its place. After such a time it may have missed
+// lists, so that it begins anew with the teams of which it is a keeper only because others are absent.
+func (k *Keeper) Prove(now, at clock.Instant) {
+	if at <= k.provenAt {
+		return
+	}
+	missed := k.provenAt != 0 && at.Sub(k.provenAt) >= claimLifetime
+	k.provenAt = at
+	if n := len(k.lists); missed && n > 0 {
+		k.lists = []memberList{{since: now, members: k.lists[n-1].members}}
+		k.firstList = !k.returning
+		maps.DeleteFunc(k.buckets, func(t ident.Team, _ *heldBucket) bool { return !k.keeps(t, k.registered) })
+	}
+}
+
+// proven reports whether no other list can be in force that others act upon.
+func (k *Keeper) proven(now clock.Instant) bool {
+	return k.provenAt != 0 && now.Sub(k.provenAt) < claimLifetime
+}
+
 // Answer deducts the tokens for an ask and returns the answer, or nil if the ask is a duplicate.
 func (k *Keeper) Answer(now clock.Instant, t ident.Team, a *wire.AllowanceAsk) *wire.AllowanceAnswer {
 	r := &wire.AllowanceAnswer{Process: a.GetProcess(), Number: a.GetNumber()}
@@ -104,7 +149,7 @@
 		return r
 	}
 	b := k.bucketOf(now, t, l)
-	if b == nil {
+	if b == nil || !k.proven(now) {
 		r.Result = wire.AllowanceResult_AllowanceResultNotKeeper
 		return r
 	}
@@ -182,8 +227,9 @@
 }
 
 // startOf returns the instant from which the bucket of a team fills: the instant since which this member has been its
-// keeper and, unless it already was when this process started, the time of the handover. It returns false if this
-// member is not a keeper of the team.
+// keeper and, unless it already was when this process started, the time of the handover. A member that would be no
+// keeper if all registered members ran may only just have become one. It returns false if this member is not a keeper
+// of the team.
 func (k *Keeper) startOf(t ident.Team) (clock.Instant, bool) {
 	i := len(k.lists)
 	for i > 0 && k.keeps(t, k.lists[i-1].members) {
@@ -192,11 +238,14 @@
 	if i == len(k.lists) {
 		return 0, false
 	}
-	start := k.lists[i].since
-	if i > 0 || !k.firstList {
-		start = start.Add(handoverDelay)
+	switch {
+	case !k.keeps(t, k.registered):
+		return k.lists[len(k.lists)-1].since.Add(HandoverDelay), true
+	case i > 0 || !k.firstList:
+		return k.lists[i].since.Add(HandoverDelay), true
+	default:
+		return k.lists[i].since, true
 	}
-	return start, true
 }
 
 // keeps reports whether this member is a keeper of a team with these members.
@@ -210,7 +259,7 @@
 	n := 0
 	for i := len(k.lists) - 1; i >= 0; i-- {
 		n = max(n, keeperCountOf(k.lists[i].members))
-		if now.Sub(k.lists[i].since) > handoverDelay {
+		if now.Sub(k.lists[i].since) > HandoverDelay {
 			break
 		}
 	}
@@ -282,5 +331,5 @@
 }
 
 func microseconds(d time.Duration) uint32 {
-	return uint32(max(0, d.Microseconds()))
+	return uint32(min(max(0, d.Microseconds()), math.MaxUint32))
 }
--- a/request/allowance/limit.go
+++ b/request/allowance/limit.go
@@ -18,9 +18,13 @@
 	// extraCapacity is added to the capacity of each keeper's bucket. Without it a keeper of a team with a burst below
 	// four could never hold a whole token. It uses 8 of the 20 requests of the permitted slack.
 	extraCapacity = 2
-	// handoverDelay is how long a member that becomes a keeper waits before its bucket begins to fill. Other members may
-	// use the former keeper until they learn of the new list, which takes at most 2 s for members in touch.
-	handoverDelay = 2 * time.Second
+	// claimLifetime is how long a keeper gives out tokens after the list of keepers was proven to hold: one that does not
+	// hear of another list stops by itself. Proofs are asked for every claimInterval, and are 0.8 to 1.6 s old.
+	claimLifetime = 3 * time.Second
+	claimInterval = 750 * time.Millisecond
+	// HandoverDelay is how long a member that becomes a keeper waits before its bucket begins to fill. Its predecessor
+	// has stopped by then, and the tokens that it gave out have expired.
+	HandoverDelay = claimLifetime + TokenLifetime + returnLifetime
 )
 
 // Limit is the allowance of a team over all VMs together, in requests; a rate of zero means no limit.
--- a/request/allowance/limiter.go
+++ b/request/allowance/limiter.go
@@ -23,6 +23,11 @@
 	Self() roster.Member
 	// SendAllowance sends a message to a member in a datagram, which may get lost.
 	SendAllowance(to ident.Address, m *wire.AllowanceMessage)
+	// Readers returns the addresses of the other members that read the store.
+	Readers() []ident.Address
+	// ProvenAt returns an instant as of which no other list of keepers than the one with the given checksum was in force
+	// anywhere; zero if this member can't tell.
+	ProvenAt(list uint64) clock.Instant
 }
 
 // outgoing is a message to another member.
@@ -43,7 +48,8 @@
 
 	mu      sync.Mutex
 	keeper  *Keeper
-	members []roster.Member
+	members MemberSet
+	claim   claim
 	pools   map[ident.Team]*Pool
 	waiting map[Waiter]chan Decision
 	waiter  Waiter
@@ -63,26 +69,37 @@
 	return &Limiter{
 		peers: p, clock: c, log: l, self: m, process: rand.Uint64(), keeper: NewKeeper(m.Name, limit),
 		pools: map[ident.Team]*Pool{}, waiting: map[Waiter]chan Decision{},
+		claim: claim{asks: map[uint64]clock.Instant{}},
 	}
 }
 
-// SetMembers sets the list of all members. An empty list, which a fleet has until its first member has registered, has
-// no effect.
-func (l *Limiter) SetMembers(members []roster.Member) {
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b roster.Member) int { return cmp.Compare(a.Name, b.Name) })
+// SetMembers sets the members. An empty list, which a fleet has until its first member has registered, has no effect.
+func (l *Limiter) SetMembers(s MemberSet) {
+	s.Registered, s.Keepers = sorted(s.Registered), sorted(s.Keepers)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(members) == 0 || slices.Equal(members, l.members) {
+	if len(s.Keepers) == 0 {
 		return
 	}
-	l.members = members
-	l.keeper.SetMembers(l.clock.Now(), members)
+	l.keeper.SetMembers(l.clock.Now(), s)
+	same := slices.Equal(s.Keepers, l.members.Keepers)
+	l.members = s
+	if same {
+		return
+	}
+	l.claim.list = roster.Checksum(s.Keepers)
 	for t, p := range l.pools {
-		p.SetKeepers(nearestFirst(keepersOf(t, members), &l.self))
+		p.SetKeepers(nearestFirst(keepersOf(t, s.Keepers), &l.self))
 	}
 }
 
+// sorted returns a copy of a list of members in the order of their names.
+func sorted(l []roster.Member) []roster.Member {
+	l = slices.Clone(l)
+	slices.SortFunc(l, func(a, b roster.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return l
+}
+
 // Take decides whether a request of a team may be sent; late means that the request can't meet its latency objective
 // any more, so that requests which can go first. It waits for a token for at most MaxWait. If the context ends
 // first, the request gets none.
@@ -156,6 +173,9 @@
 	t := ident.Team(m.GetTeam())
 	switch b := m.GetBody().(type) {
 	case *wire.AllowanceMessage_Ask:
+		if !l.keeper.proven(now) {
+			l.keeper.Prove(now, l.peers.ProvenAt(l.claim.list))
+		}
 		r := l.keeper.Answer(now, t, b.Ask)
 		if r == nil {
 			return
@@ -172,6 +192,10 @@
 		}
 	case *wire.AllowanceMessage_Return:
 		l.keeper.Return(now, t, b.Return)
+	case *wire.AllowanceMessage_ListAsk:
+		l.answerClaim(now, b.ListAsk, from)
+	case *wire.AllowanceMessage_ListAnswer:
+		l.receiveProof(now, b.ListAnswer)
 	}
 }
 
@@ -210,7 +234,7 @@
 	p := l.pools[t]
 	if p == nil {
 		p = NewPool(t, l.process, rand.Float64)
-		p.SetKeepers(nearestFirst(keepersOf(t, l.members), &l.self))
+		p.SetKeepers(nearestFirst(keepersOf(t, l.members.Keepers), &l.self))
 		l.pools[t] = p
 	}
 	return p
--- a/request/allowance/limiter_test.go
+++ b/request/allowance/limiter_test.go
@@ -21,6 +21,7 @@
 type network struct {
 	mu       sync.Mutex
 	limiters map[ident.Address]*Limiter
+	clock    clock.Clock
 	cut      atomic.Bool
 	messages atomic.Int64
 }
@@ -33,6 +34,10 @@
 
 func (p *port) Self() roster.Member { return p.self }
 
+func (p *port) Readers() []ident.Address { return nil }
+
+func (p *port) ProvenAt(uint64) clock.Instant { return p.network.clock.Now() }
+
 func (p *port) SendAllowance(to ident.Address, m *wire.AllowanceMessage) {
 	n := p.network
 	n.messages.Add(1)
@@ -57,13 +62,15 @@
 	for _, k := range keepersOf(m.Name, members) {
 		keepers[k.Name] = true
 	}
-	n := &network{limiters: map[ident.Address]*Limiter{}}
+	n := &network{limiters: map[ident.Address]*Limiter{}, clock: c}
 	limit := func(ident.Team) (Limit, bool) { return Limit{Rate: m.Rate, Burst: m.Burst}, true }
 	var l []*Limiter
 	for _, o := range members {
 		x := New(&port{network: n, self: o}, limit, c, zerolog.Nop())
 		n.limiters[o.Address] = x
-		x.SetMembers(members)
+		x.SetMembers(MemberSet{Registered: members, Keepers: members})
+		x.renewClaim()
+		go x.Run(t.Context())
 		if !keepers[o.Name] {
 			l = append([]*Limiter{x}, l...)
 		} else {
--- a/request/allowance/message_test.go
+++ b/request/allowance/message_test.go
@@ -20,6 +20,11 @@
 	tokens float64
 }
 
+// allOf returns a set of members all of which may be keepers.
+func allOf(l ...roster.Member) MemberSet {
+	return MemberSet{Registered: l, Keepers: l}
+}
+
 // TestKeeperRandom checks that a keeper never gives out more than its bucket allows in any period, whatever asks and
 // returns it gets, also late, duplicated and invented ones, and over restarts.
 func TestKeeperRandom(t *testing.T) {
@@ -32,7 +37,7 @@
 		now := clock.Instant(time.Hour)
 		start := func() *Keeper {
 			k := NewKeeper("a", func(n ident.Team) (Limit, bool) { return limit, n == "t" })
-			k.SetMembers(now, members)
+			k.SetMembers(now, allOf(members...))
 			return k
 		}
 		k := start()
@@ -43,6 +48,7 @@
 		process := rapid.Uint64Range(1, 2)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 20, 199, 201, 400}).Draw(t, "ms")) * time.Millisecond)
+			k.Prove(now, now)
 			id := askID{process: process.Draw(t, "process"), number: number.Draw(t, "number")}
 			before := levelOf(k, now)
 			switch rapid.IntRange(0, 8).Draw(t, "kind") {
@@ -181,17 +187,18 @@
 	limit := func(ident.Team) (Limit, bool) { return Limit{Rate: 40, Burst: 40}, true }
 	now := clock.Instant(time.Hour)
 	ask := func(k *Keeper, n uint64) *wire.AllowanceAnswer {
+		k.Prove(now, now)
 		return k.Answer(now, "t", &wire.AllowanceAsk{Process: 1, Number: n, Need: 1})
 	}
 	old := NewKeeper("a", limit)
-	old.SetMembers(now, []roster.Member{{Name: "a"}, {Name: "b"}})
+	old.SetMembers(now, allOf(roster.Member{Name: "a"}, roster.Member{Name: "b"}))
 	added := NewKeeper("a", limit)
-	added.SetMembers(now, []roster.Member{{Name: "b"}})
+	added.SetMembers(now, allOf(roster.Member{Name: "b"}))
 	if r := ask(added, 1).GetResult(); r != wire.AllowanceResult_AllowanceResultNotKeeper {
 		t.Errorf("member not in the list: %s", r)
 	}
-	added.SetMembers(now, []roster.Member{{Name: "a"}, {Name: "b"}})
-	now = now.Add(handoverDelay)
+	added.SetMembers(now, allOf(roster.Member{Name: "a"}, roster.Member{Name: "b"}))
+	now = now.Add(HandoverDelay)
 	if n := ask(old, 2).GetTokens(); n != 1 {
 		t.Errorf("keeper from the start gave %d tokens, want 1", n)
 	}
@@ -210,11 +217,12 @@
 	const team = "t"
 	now := clock.Instant(time.Hour)
 	k := NewKeeper("vm-1", func(ident.Team) (Limit, bool) { return Limit{Rate: 4, Burst: 8}, true })
-	k.SetMembers(now, []roster.Member{{Name: "vm-1", DataCentre: "a"}})
+	k.SetMembers(now, allOf(roster.Member{Name: "vm-1", DataCentre: "a"}))
 	now = now.Add(time.Minute)
 	number := uint64(0)
 	ask := func(need, late uint32) uint32 {
 		number++
+		k.Prove(now, now)
 		return k.Answer(now, team, &wire.AllowanceAsk{Process: 1, Number: number, Need: need, Late: late}).GetTokens()
 	}
 	// The bucket holds 10 tokens, of which late requests leave 2.5.
--- a/request/allowance/pool.go
+++ b/request/allowance/pool.go
@@ -112,9 +112,11 @@
 	// emptyAt is when a keeper last answered that it has no tokens.
 	emptyAt clock.Instant
 	// retryAt is when the caller of the next refused request should return, and retryStep the time between two of them.
-	retryAt     clock.Instant
-	retryStep   time.Duration
-	exceeding   bool
+	retryAt   clock.Instant
+	retryStep time.Duration
+	exceeding bool
+	// shortAt is when a request was last refused while a keeper did not answer.
+	shortAt     clock.Instant
 	lastRefusal clock.Instant
 	actions     []Action
 	stats       Stats
@@ -238,6 +240,11 @@
 		now.Sub(p.demand.at) > exceedingTime
 }
 
+// ShortAt returns when a request was last refused while a keeper did not answer; zero if none was.
+func (p *Pool) ShortAt() clock.Instant {
+	return p.shortAt
+}
+
 // Stats returns what the pool has done so far.
 func (p *Pool) Stats() Stats {
 	return p.stats
--- a/request/allowance/pool_refuse.go
+++ b/request/allowance/pool_refuse.go
@@ -31,6 +31,9 @@
 
 // refuse refuses a request: with Exceeded if a keeper has lately answered that it has no tokens.
 func (p *Pool) refuse(now clock.Instant, w *waiter) {
+	if slices.ContainsFunc(p.keepers, func(k knownKeeper) bool { return k.silence != 0 }) {
+		p.shortAt = now
+	}
 	soonest, ok := p.soonestEmpty()
 	if !p.lately(now) && (!ok || soonest <= now) {
 		p.stats.Unavailable++
--- a/request/allowance/simulation_test.go
+++ b/request/allowance/simulation_test.go
@@ -56,9 +56,12 @@
 	side        int
 	limits      map[ident.Team]Limit
 	members     []roster.Member
-	keeper      *Keeper
-	pools       map[ident.Team]*Pool
-	ticks       map[ident.Team]clock.Instant
+	// version is that of members; returning means that the VM was absent.
+	version   int
+	returning bool
+	keeper    *Keeper
+	pools     map[ident.Team]*Pool
+	ticks     map[ident.Team]clock.Instant
 }
 
 // simRequest is a caller's request; returns counts how often its caller has come back.
@@ -92,6 +95,11 @@
 	tallies    map[ident.Team]*tally
 	datagrams  int
 	retired    Stats
+	// lists are the lists of keepers that have been in force, with the instants since which they were; only if
+	// replacesKeepers is set does another follow the first. proofs draws the times of proofs.
+	lists           []simList
+	replacesKeepers bool
+	proofs          *rand.Rand
 	// began is when the demand began.
 	began clock.Instant
 }
@@ -107,6 +115,7 @@
 			Name: ident.VM(fmt.Sprintf("vm-%03d", i)), DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%4)),
 		})
 	}
+	s.lists, s.proofs = []simList{{members: l}}, rand.New(rand.NewPCG(seed, 2))
 	for i := range l {
 		v := &simVM{member: l[i], limits: limits, members: l, offset: clock.Instant(s.rng.Int64N(int64(time.Hour)))}
 		s.vms = append(s.vms, v)
@@ -126,12 +135,17 @@
 		l, ok := v.limits[t]
 		return l, ok
 	})
-	v.keeper.SetMembers(s.now+v.offset, v.members)
+	s.setMembers(v, v.members)
+	s.on(v, time.Duration(50+s.proofs.IntN(300))*time.Millisecond, func() { s.prove(v) })
 }
 
 func (s *simulation) setMembers(v *simVM, l []roster.Member) {
 	v.members = l
-	v.keeper.SetMembers(s.now+v.offset, l)
+	registered := l
+	if s.replacesKeepers {
+		registered = s.lists[0].members
+	}
+	v.keeper.SetMembers(s.now+v.offset, MemberSet{Registered: registered, Keepers: l, Returning: v.returning})
 	for t, p := range v.pools {
 		p.SetKeepers(nearestFirst(keepersOf(t, l), &v.member))
 	}
--- a/version/roster/roster.go
+++ b/version/roster/roster.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/amaranthramp/amaranthramp/ident"
 	"github.com/amaranthramp/amaranthramp/process/clock"
 )
@@ -54,6 +56,15 @@
 	Capacity int
 }
 
+// Checksum returns a checksum of the names of members, whatever their order.
+func Checksum(l []Member) uint64 {
+	sum := uint64(0)
+	for i := range l {
+		sum ^= xxhash.Sum64String(string(l[i].Name))
+	}
+	return sum
+}
+
 // Roster is an immutable snapshot of the registered targets and the evacuated data centres.
 type Roster struct {
 	targets   map[ident.Service][]Target
