soak: drawn values in configurations, and most VMs lost with allowances

The soak's configurations had whole numbers and no tenants, and it lost one VM at a time. Now each version has numbers that aren't whole and entries of drawn values, which may cost only themselves; three teams ask for three times their allowances, and no window of 5 s may have more runs than the bound, nor the end less than the allowance; and all VMs but one or two are killed together for up to 9 s.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -32,6 +32,7 @@
 	{"kill", false, false, func(s *soak, r *rand.Rand) error {
 		return s.anyVM(r).killAndRestart(randomDuration(r, 200, 1500))
 	}},
+	{"most VMs lost", false, false, loseMost},
 	{"stop", false, true, func(s *soak, r *rand.Rand) error { return s.anyVM(r).stopAndRestart(nil) }},
 	{"freeze", false, false, func(s *soak, r *rand.Rand) error {
 		s.anyVM(r).freeze(randomDuration(r, 300, 2500))
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -173,6 +173,9 @@
 		callers.Go(func() { s.runCaller(ctx, i) })
 		callers.Go(func() { s.runRawCaller(ctx, i) })
 	}
+	for i := range teamCount {
+		callers.Go(func() { s.runTeam(ctx, i) })
+	}
 	until := time.Now().Add(s.options.For)
 	for i := range faultWorkers {
 		loops.Go(func() { s.injectFaults(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i))), until) })
@@ -184,7 +187,10 @@
 	if err := s.waitReady(recoveryLimit); err != nil {
 		s.addViolation("recovery: " + err.Error())
 	}
+	faultsEnd := time.Now()
 	s.checkServed()
+	time.Sleep(time.Until(faultsEnd.Add(allowanceLimit)))
+	s.checkAllowances()
 	cancel()
 	callers.Wait()
 	for _, v := range s.vms {
@@ -330,7 +336,10 @@
 	to := services[int(s.version)%len(services)]
 	one := func(n ident.Service) []route.WeightedService { return []route.WeightedService{{Service: n, Weight: 1}} }
 	base := route.Route{Host: host, Timeout: 2 * time.Second, LatencyObjective: 500 * time.Millisecond, MaxAttempts: 2}
+	teams := base
+	base.Public = true
 	read, claim, move, statement, report := base, base, base, base, base
+	teams.Name, teams.Prefix, teams.Idempotent, teams.Services = "team", "/team/", true, one(services[0])
 	read.Name, read.Prefix, read.Idempotent, read.Services = "read", "/read/", true, one(services[0])
 	claim.Name, claim.Prefix, claim.Services = "claim", "/claim/", one(services[1])
 	move.Name, move.Prefix, move.Idempotent, move.Services = "move", "/move/", true, one(to)
@@ -339,11 +348,12 @@
 	report.Name, report.Prefix, report.Idempotent, report.Services = "report", "/report/", true, one(services[1])
 	text, err := platform.EncodeConfiguration(s.version,
 		[]route.Service{{Name: services[0], HealthPath: "/health"}, {Name: services[1], HealthPath: "/health"}},
-		[]route.Route{read, claim, move, statement, report})
+		[]route.Route{read, claim, move, statement, report, teams}, teamsWithKeys()...)
 	if err != nil {
 		return err
 	}
-	s.store.Put(platform.ConfigurationKind, platform.ConfigurationName, s.limits.writeTo(text))
+	r := rand.New(rand.NewPCG(s.options.Seed, uint64(s.version)))
+	s.store.Put(platform.ConfigurationKind, platform.ConfigurationName, withOddValues(r, s.limits.writeTo(text)))
 	s.routeMovedAt, s.routeService = time.Now(), to
 	return nil
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -48,6 +48,19 @@
 	return slices.Clone(r.runs[id])
 }
 
+// Count returns the number of runs of all requests whose IDs begin with a text.
+func (r *RunLog) Count(prefix string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := uint64(0)
+	for id, l := range r.runs {
+		if strings.HasPrefix(id, prefix) {
+			n += uint64(len(l))
+		}
+	}
+	return n
+}
+
 // LastRun returns the start of the last run at a target, or the zero time if there was none.
 func (r *RunLog) LastRun(target string) time.Time {
 	r.mu.Lock()
