exchange: cut a warm-up time that overflows

A target that says it stays cold for ms counted as warm (-1 ms), and so did one beyond 64 bits or with a fraction, which could not be read.

Change: the number is read as whole or not, of any size, and cut to 24 h. The rows of TestProbe fail on the code before.

--- a/connection/exchange/report.go
+++ b/connection/exchange/report.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,13 +36,23 @@
 
 func parseReport(h *Headers, p *http.Response) Report {
 	r := Report{Healthy: p.StatusCode == http.StatusOK, Slowdown: 1}
-	if n, err := strconv.ParseInt(p.Header.Get(h.WarmupLeft), 10, 64); err == nil && n > 0 {
-		r.WarmupLeft = time.Duration(n) * time.Millisecond
-	}
+	r.WarmupLeft = parseWarmup(p.Header.Get(h.WarmupLeft))
 	r.parseLoad(p.Header.Get(h.Load))
 	return r
 }
 
+// maxWarmup bounds the remaining time of a warm-up.
+const maxWarmup = 24 * time.Hour
+
+// parseWarmup returns a number of milliseconds, whole or not, of at most maxWarmup; zero if it can't be read.
+func parseWarmup(s string) time.Duration {
+	n, err := strconv.ParseFloat(s, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(n) || n <= 0 {
+		return 0
+	}
+	return time.Duration(min(n, float64(maxWarmup.Milliseconds())) * float64(time.Millisecond))
+}
+
 // parseLoad parses "running,waiting,slots" with the slowdown in hundredths (100 at normal speed) as an optional fourth
 // figure. A header in any other format is ignored.
 func (r *Report) parseLoad(s string) {
