exchange, peer: bodies and answers above 4 MiB that the budget has room for

Cause: both had a fixed limit of 4 MiB beside the budget for bodies, which is what bounds the memory.

Change: where there is a budget, it is the limit. A VM that has no room for a body that another one has taken refuses it as one that a third may take, not as too large, and reads the rest of it, so that its answer arrives.

TestReadBody names its limit itself now, as there is no fixed one for responses.

--- a/connection/exchange/body_account.go
+++ b/connection/exchange/body_account.go
@@ -5,7 +5,6 @@
 	"io"
 
 	"github.com/amaranthramp/amaranthramp/ident"
-	"github.com/amaranthramp/amaranthramp/request/call"
 )
 
 const (
@@ -42,9 +41,9 @@
 	return a.read(r, requestBody, length, limit)
 }
 
-// ReadResponse reads the body of a response of at most call.MaxBody bytes, in the same way as ReadRequest.
+// ReadResponse reads the body of a response of any size that the budget can hold, in the same way as ReadRequest.
 func (a *BodyAccount) ReadResponse(r io.Reader, length int64) ([]byte, error) {
-	return a.read(r, responseBody, length, call.MaxBody)
+	return a.read(r, responseBody, length, a.budget.maxBody(responseBody))
 }
 
 func (a *BodyAccount) read(r io.Reader, k bodyKind, length int64, limit ident.Bytes) (b []byte, err error) {
--- a/connection/exchange/body_budget.go
+++ b/connection/exchange/body_budget.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/amaranthramp/amaranthramp/ident"
+	"github.com/amaranthramp/amaranthramp/request/call"
 )
 
 // SmallBody is the size in bytes up to which a body counts as small. Large bodies can't take the whole budget, so that
@@ -96,6 +97,25 @@
 	return max(b.bound(k, SmallBody+1), min(SmallBody, b.limit))
 }
 
+// MaxRequest returns the size of the largest body of a request that can be read.
+func (b *BodyBudget) MaxRequest() ident.Bytes {
+	return b.maxBody(requestBody)
+}
+
+// Bounded reports whether the budget bounds anything.
+func (b *BodyBudget) Bounded() bool {
+	return b.limit > 0
+}
+
+// maxBody returns the size of the largest body that can be read: what the budget can hold beside no other or, without a
+// bound, call.MaxBody.
+func (b *BodyBudget) maxBody(k bodyKind) ident.Bytes {
+	if !b.Bounded() {
+		return call.MaxBody
+	}
+	return b.largest(k)
+}
+
 // reserve takes n bytes out of the budget and reports whether it could. It collects garbage if that gives the room.
 func (b *BodyBudget) reserve(k bodyKind, n ident.Bytes) bool {
 	most := b.bound(k, n)
--- a/connection/exchange/body_budget_test.go
+++ b/connection/exchange/body_budget_test.go
@@ -35,7 +35,7 @@
 			length = -1
 		}
 		a := b.Open()
-		got, err := a.ReadResponse(r, length)
+		got, err := a.ReadRequest(r, length, call.MaxBody)
 		if tooLarge := n > call.MaxBody; tooLarge != errors.Is(err, ErrBodyTooLarge) || !tooLarge && err != nil {
 			t.Fatalf("error %v for %d bytes", err, n)
 		}
--- a/connection/exchange/endless_test.go
+++ b/connection/exchange/endless_test.go
@@ -73,7 +73,7 @@
 			if _, ok := x.Event.(outcome.Broken); !ok || x.Event == (outcome.Broken{Reason: outcome.Expired}) {
 				t.Errorf("event %#v, want broken before the deadline", x.Event)
 			}
-			if n, most := read.Load(), int64(maxBodyBytes+maxHeaderBytes); n > most {
+			if n, most := read.Load(), int64(NewBodyBudget(0).maxResponseBytes()+maxHeaderBytes); n > most {
 				t.Errorf("%d bytes read, want at most %d", n, most)
 			}
 			read.Store(0)
--- a/connection/exchange/round_trip.go
+++ b/connection/exchange/round_trip.go
@@ -23,12 +23,15 @@
 
 // Limits on a response.
 const (
-	maxHeaderBytes ident.Bytes = 64 << 10
-	// maxBodyBytes leaves room for the chunked framing around a body of the maximum size.
-	maxBodyBytes     ident.Bytes = 2 * call.MaxBody
+	maxHeaderBytes   ident.Bytes = 64 << 10
 	maxInformational             = 5
 )
 
+// maxResponseBytes bounds what is read for the body of a response. It leaves room for the chunked framing.
+func (b *BodyBudget) maxResponseBytes() ident.Bytes {
+	return 2 * b.maxBody(responseBody)
+}
+
 // Errors of a response header.
 var (
 	// errNoFinalResponse means that only informational (1xx) responses came, or one that switches protocols or names a
@@ -62,7 +65,7 @@
 	if !hasFraming(p) {
 		return broken(outcome.Truncated), false
 	}
-	n.SetReadLimit(maxBodyBytes)
+	n.SetReadLimit(e.bodies.maxResponseBytes())
 	b, err := readBody(e.bodies, c, p)
 	if err != nil {
 		return broken(reasonOfBodyError(err)), false
--- a/connection/exchange/target_client.go
+++ b/connection/exchange/target_client.go
@@ -226,7 +226,7 @@
 		} else if i == maxMismatched || !skippable(n, p) {
 			return broken(outcome.Crossed), false
 		}
-		n.SetReadLimit(maxBodyBytes)
+		n.SetReadLimit(d.bodies.maxResponseBytes())
 		b, err := readBody(d.bodies, c, p)
 		_ = p.Body.Close()
 		if err != nil {
--- a/connection/peer/mux.go
+++ b/connection/peer/mux.go
@@ -44,14 +44,14 @@
 func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := m.bodies.Open()
 	defer l.Close()
-	b, err := l.ReadRequest(r.Body, r.ContentLength, call.MaxBody)
+	b, err := l.ReadRequest(r.Body, r.ContentLength, m.bodies.MaxRequest())
 	switch k := MessageKind(r.Header.Get(call.HeaderMessage)); {
-	case errors.Is(err, exchange.ErrBodyTooLarge):
-		// The other member reads the answer only once it has sent the body.
-		_, _ = io.CopyN(io.Discard, r.Body, call.MaxBody+1)
+	case errors.Is(err, exchange.ErrBodyTooLarge) && !m.bodies.Bounded():
+		discardBody(r)
 		writeAnswer(w, r, call.Rejected(outcome.TooLarge, http.StatusRequestEntityTooLarge))
-	case errors.Is(err, exchange.ErrNoRoom):
-		// Another member may have room.
+	case errors.Is(err, exchange.ErrBodyTooLarge), errors.Is(err, exchange.ErrNoRoom):
+		// The member that took the request from its caller has room for it, and another one may have.
+		discardBody(r)
 		writeAnswer(w, r, call.NotRun(outcome.Unreachable))
 	case err != nil:
 	case k != "":
@@ -64,6 +64,14 @@
 	}
 }
 
+// maxDiscarded bounds what is read and dropped of a body that is not kept.
+const maxDiscarded = 256 << 20
+
+// discardBody drops the rest of a body: the other member reads the answer only once it has sent the body.
+func discardBody(r *http.Request) {
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscarded)
+}
+
 // writeAnswer sends the answer to a forwarded call.
 func writeAnswer(w http.ResponseWriter, r *http.Request, a call.Answer) {
 	encodeAnswer(&a, w.Header())
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -139,3 +139,36 @@
 			d.last != nil)
 	}
 }
+
+// TestForwardLarge checks that a body and its answer above 4 MiB pass between two members that have room for them, and
+// that a member without room refuses as one that another may replace: callers got 413 for bodies that the configuration
+// allows, and 502 for the answers of targets.
+func TestForwardLarge(t *testing.T) {
+	for _, r := range []struct {
+		name   string
+		budget ident.Bytes
+		status int
+	}{
+		{"room for both", 64 << 20, 201},
+		{"no room", 6 << 20, http.StatusServiceUnavailable},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			c := clock.New()
+			s := httptest.NewServer(NewMux(&echoDispatcher{}, exchange.NewBodyBudget(r.budget), c))
+			defer s.Close()
+			n := NewClient(exchange.NewBodyBudget(64<<20), c)
+			q := &call.Call{
+				ID: "id", Service: "s", Class: "r", Method: "PUT", Path: "/", Host: "h", Header: http.Header{},
+				Body: make([]byte, 2*call.MaxBody+1), Attempt: 2, Deadline: c.Now().Add(5 * time.Second),
+			}
+			a := n.Forward(context.Background(), ident.Address(s.Listener.Addr().String()), q)
+			if a.Status != r.status || r.status == 201 && len(a.Body) != len(q.Body) {
+				t.Errorf("answer %s with status %d and %d bytes, want %d and the whole body", a.Outcome, a.Status, len(a.Body),
+					r.status)
+			}
+			if r.status != 201 && (a.Outcome != outcome.NotRun || a.Reason != outcome.Unreachable) {
+				t.Errorf("answer %s for the reason %s, want not-run and unreachable", a.Outcome, a.Reason)
+			}
+		})
+	}
+}
