--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -45,6 +45,8 @@
 	nodes []*node
 	// firstStart means that the nodes start as in a system that has never run.
 	firstStart bool
+	// keepers, unless nil, keep allowances on all nodes.
+	keepers fleet.Keepers
 	// registrations counts the calls that register a member.
 	registrations atomic.Int32
 	// texts, unless nil, replaces texts in the responses of the store.
@@ -96,6 +98,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{address: a, catalog: g, follower: f, partition: p, stop: cancel, done: make(chan struct{})}
 	n.fleet = fleet.New(m, 0, b.firstStart, fleet.WarmupRateBound{Factor: 1.5, Slack: 5}, g, f, s, c, zerolog.Nop())
+	if b.keepers != nil {
+		n.fleet.ManageKeepers(b.keepers, testHandover)
+	}
 	go func() {
 		defer close(n.done)
 		if err := n.fleet.Run(ctx); err != nil {
--- a/process/fleet/standing.go
+++ b/process/fleet/standing.go
@@ -26,6 +26,8 @@
 	spareKeeperCentres = 4
 	// deputyDelay is how long a reader other than the top-ranked one waits before it writes standings in its place.
 	deputyDelay = 1500 * time.Millisecond
+	// signOfLife is how long a member is not marked again after it has returned: it runs, and only this VM can't hear it.
+	signOfLife = 30 * time.Second
 	// maxStandingWrites bounds the standings that are written in one check.
 	maxStandingWrites = 25
 )
@@ -48,7 +50,10 @@
 // manageStandings writes the standings of this VM and, while it reads the store, of members that do not answer, until
 // the context ends.
 func (f *Fleet) manageStandings(ctx context.Context) {
-	s := standings{fleet: f, written: map[ident.VM]ident.Revision{}}
+	s := standings{
+		fleet: f, written: map[ident.VM]ident.Revision{}, absent: map[ident.VM]struct{}{},
+		returnedAt: map[ident.VM]clock.Instant{},
+	}
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, standingInterval)
 		_, confirmed := f.follower.Reading()
@@ -58,6 +63,7 @@
 			continue
 		}
 		v := f.catalog.Get()
+		s.recordReturns(now, v)
 		s.renewOwn(ctx, now, v)
 		s.markAbsent(ctx, now, v)
 	}
@@ -72,10 +78,26 @@
 	silentSince clock.Instant
 	// pausedUntil is when writes are tried again after one has failed.
 	pausedUntil clock.Instant
+	// absent holds the members that were absent when last looked at, and returnedAt when members last returned.
+	absent     map[ident.VM]struct{}
+	returnedAt map[ident.VM]clock.Instant
 	// written holds the revision of the entry that was last replaced for each VM.
 	written map[ident.VM]ident.Revision
 }
 
+// recordReturns records which members have returned since the last call.
+func (s *standings) recordReturns(now clock.Instant, v *catalog.View) {
+	for i := range v.Members {
+		n := v.Members[i].Name
+		if v.States[i].Standing == catalog.Absent {
+			s.absent[n] = struct{}{}
+		} else if _, was := s.absent[n]; was {
+			delete(s.absent, n)
+			s.returnedAt[n] = now
+		}
+	}
+}
+
 // renewOwn makes this VM a keeper again after it was absent: first as one that returns, so that those that kept in its
 // place stop, and present once they have.
 func (s *standings) renewOwn(ctx context.Context, now clock.Instant, v *catalog.View) {
@@ -116,6 +138,9 @@
 		if i == maxStandingWrites || now < s.pausedUntil {
 			return
 		}
+		if at, ok := s.returnedAt[l[i].Name]; ok && now.Sub(at) < signOfLife {
+			continue
+		}
 		o, _ := v.StateOf(l[i].Name)
 		s.write(ctx, now, &l[i], o.Revision, catalog.Absent)
 	}
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -344,7 +344,8 @@
 	}
 }
 
-// write creates an object (POST), which fails if there is one of that name, or replaces it (PUT).
+// write creates an object (POST), which fails if there is one of that name, or replaces it (PUT), unless it is not at
+// the revision that the call names.
 func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var o Object
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -360,6 +361,10 @@
 			return
 		}
 	}
+	if old := s.objects[kind][name]; o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision {
+		writeJSON(w, http.StatusConflict, old)
+		return
+	}
 	n := s.put(kind, name, o.Spec)
 	if s.faults.LoseWrites {
 		panic(http.ErrAbortHandler)
