catalog: a read of missed changes that fails ends no other watch

Now it is only tried again, and the next answer for the configurations decides whether the store is lost.

--- a/process/catalog/follower.go
+++ b/process/catalog/follower.go
@@ -403,11 +403,15 @@
 		return
 	}
 	list := errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrUnreadable) || b.LeftOut > 0
-	if !list {
-		f.recordResult(ctx, k, err)
-		if err != nil {
-			return
-		}
+	switch {
+	case list:
+	case err != nil:
+		// The next answer for the configurations shows whether the store still answers. If it does not, the other watches,
+		// one of which may be receiving these changes, end by that.
+		f.log.Info().Str("Kind", k.String()).Err(err).Msg("could not read the changes of a kind; trying again")
+		return
+	default:
+		f.recordResult(ctx, k, nil)
 		f.catalog.Apply(k, b)
 		if len(b.Changes) == 0 {
 			return
