fleet: mark a member as absent only if its silence lasts here

By reading: a reader that was paused for 2 to 3 s finds all members silent when it runs again, until it has read the answers that came meanwhile, and could mark them as absent. A member now has to count as silent for a second more, during which they are read; the time starts anew when the store has not confirmed the copy for 2 s.

--- a/process/fleet/standing.go
+++ b/process/fleet/standing.go
@@ -18,6 +18,9 @@
 	standingPause   = time.Second
 	// standingFreshness is how old the store's last confirmation may be for a VM that writes a standing.
 	standingFreshness = 2 * time.Second
+	// lastingSilence is how long a member has to count as silent here. If this VM was paused, the answers of that time
+	// arrive at once afterwards.
+	lastingSilence = time.Second
 	// toleratedSilence is how long members may be silent while the allowances suffice without them. Most cuts and
 	// restarts are over by then, and a member that has been replaced needs some time to keep again.
 	toleratedSilence = 12 * time.Second
@@ -52,7 +55,7 @@
 func (f *Fleet) manageStandings(ctx context.Context) {
 	s := standings{
 		fleet: f, written: map[ident.VM]ident.Revision{}, absent: map[ident.VM]struct{}{},
-		returnedAt: map[ident.VM]clock.Instant{},
+		returnedAt: map[ident.VM]clock.Instant{}, firstSilent: map[ident.VM]clock.Instant{},
 	}
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, standingInterval)
@@ -60,6 +63,7 @@
 		now := f.clock.Now()
 		if !f.keepers.Active() || now.Sub(max(f.ConfirmedAt(), confirmed)) >= standingFreshness || now < s.pausedUntil {
 			s.silentSince = 0
+			clear(s.firstSilent)
 			continue
 		}
 		v := f.catalog.Get()
@@ -74,8 +78,9 @@
 	fleet *Fleet
 	// returningSince is when this process first saw that this VM is returning; zero if it is not.
 	returningSince clock.Instant
-	// silentSince is since when some keeper has been silent; zero if none is.
+	// silentSince is since when some keeper has been silent; zero if none is. firstSilent is the same for each.
 	silentSince clock.Instant
+	firstSilent map[ident.VM]clock.Instant
 	// pausedUntil is when writes are tried again after one has failed.
 	pausedUntil clock.Instant
 	// absent holds the members that were absent when last looked at, and returnedAt when members last returned.
@@ -124,6 +129,7 @@
 	f := s.fleet
 	reading, _ := f.follower.Reading()
 	l, anySilent := f.silentKeepers(now, s.silentSince, v)
+	s.recordSilence(now, l)
 	if !reading || !anySilent {
 		s.silentSince = 0
 		return
@@ -141,11 +147,27 @@
 		if at, ok := s.returnedAt[l[i].Name]; ok && now.Sub(at) < signOfLife {
 			continue
 		}
+		if now.Sub(s.firstSilent[l[i].Name]) < lastingSilence {
+			continue
+		}
 		o, _ := v.StateOf(l[i].Name)
 		s.write(ctx, now, &l[i], o.Revision, catalog.Absent)
 	}
 }
 
+// recordSilence records since when each of the silent members has been silent.
+func (s *standings) recordSilence(now clock.Instant, l []roster.Member) {
+	silent := make(map[ident.VM]clock.Instant, len(l))
+	for i := range l {
+		at, ok := s.firstSilent[l[i].Name]
+		if !ok {
+			at = now
+		}
+		silent[l[i].Name] = at
+	}
+	s.firstSilent = silent
+}
+
 // write writes a standing, unless the same entry was replaced before.
 func (s *standings) write(ctx context.Context, now clock.Instant, m *roster.Member, r ident.Revision,
 	n catalog.Standing,
