candidate: give the connection of a late report of an unhealthy target back once

What callers could have got: two requests on one connection at a time, each with the other's answer (MIXED).

Cause: the connection of a probe whose target says that it is unhealthy goes back to the pool when the report is evaluated, and did so a second time if the choice had ended meanwhile.

Test: TestLateReportReleasesConnectionOnce fails on the code before, in the row of the unhealthy target.

--- a/request/candidate/probing.go
+++ b/request/candidate/probing.go
@@ -163,7 +163,10 @@
 	select {
 	case results <- a:
 	case <-done:
-		k.upstream.Release(n)
+		// Without a result, the connection has been given back already.
+		if a.result != nil {
+			k.upstream.Release(n)
+		}
 	}
 }
 
