team: the directory leaves out what can't be used

TestNewFindings also checks what is left; TestDecodeInvalidTeams and TestOddFieldCostsItself are unchanged.

--- a/version/team/directory.go
+++ b/version/team/directory.go
@@ -18,51 +18,92 @@
 	byKey map[Digest]uint32
 }
 
-// New returns the directory of the teams. Its error lists every finding, with the number of the team and of the key in
-// the input, counted from 1, and without any key.
+// New returns the directory of the teams that can be used. Its error lists every finding, with the number of the team
+// and of the key in the input, counted from 1, and without any key. A team whose name can't be used is left out, and so
+// is a key that is empty or belongs to an earlier team; the keys of a further team of the same name go to the first. A
+// number below zero counts as zero.
 func New(teams []Team) (*Directory, error) {
-	var errs []error
-	keys := 0
-	names := make(map[ident.Team]int, len(teams))
+	b := builder{byName: make(map[ident.Team]*Team, len(teams)), numbers: make(map[ident.Team]int, len(teams)),
+		owners: map[Digest]ident.Team{}}
 	for i := range teams {
-		errs = append(errs, check(i+1, &teams[i])...)
-		if first, ok := names[teams[i].Name]; ok {
-			errs = append(errs, fmt.Errorf("team %d: name %q is that of team %d", i+1, teams[i].Name, first))
-		} else {
-			names[teams[i].Name] = i + 1
+		b.add(i+1, teams[i])
+	}
+	return b.directory(), errors.Join(b.errs...)
+}
+
+// builder collects the teams of a directory.
+type builder struct {
+	byName map[ident.Team]*Team
+	// numbers holds the number of each team in the input, and owners the team of each key.
+	numbers map[ident.Team]int
+	owners  map[Digest]ident.Team
+	errs    []error
+}
+
+// add adds a team, or its keys to an earlier one of the same name.
+func (b *builder) add(n int, t Team) {
+	nameErr := checkName(n, t.Name)
+	if nameErr != nil {
+		b.errs = append(b.errs, nameErr)
+	}
+	b.errs = append(b.errs, checkNumbers(n, &t)...)
+	if nameErr != nil {
+		return
+	}
+	keys := t.Keys
+	if first, ok := b.numbers[t.Name]; ok {
+		b.errs = append(b.errs, fmt.Errorf("team %d: name %q is that of team %d, which gets its keys", n, t.Name, first))
+	} else {
+		t.Keys, t.Priority, t.Rate, t.Burst = nil, max(t.Priority, 0), max(t.Rate, 0), max(t.Burst, 0)
+		b.byName[t.Name], b.numbers[t.Name] = &t, n
+	}
+	empty := DigestOf("")
+	for i, k := range keys {
+		o, taken := b.owners[k]
+		switch {
+		case k == empty:
+			b.errs = append(b.errs, fmt.Errorf("team %d (%q): API key %d is empty", n, t.Name, i+1))
+		case taken && o != t.Name:
+			b.errs = append(b.errs, fmt.Errorf("team %d (%q): API key %d is also a key of team %d (%q)", n, t.Name, i+1,
+				b.numbers[o], o))
+		default:
+			b.owners[k] = t.Name
 		}
-		keys += len(teams[i].Keys)
 	}
-	errs = append(errs, checkKeys(teams, keys)...)
-	if err := errors.Join(errs...); err != nil {
-		return nil, err
+}
+
+// directory returns the directory of what has been added.
+func (b *builder) directory() *Directory {
+	d := &Directory{teams: make([]Team, 0, len(b.byName)), byKey: make(map[Digest]uint32, len(b.owners))}
+	for _, t := range b.byName {
+		d.teams = append(d.teams, *t)
 	}
-	d := &Directory{teams: slices.Clone(teams), byKey: make(map[Digest]uint32, keys)}
 	slices.SortFunc(d.teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+	index := make(map[ident.Team]uint32, len(d.teams))
 	for i := range d.teams {
-		for _, k := range d.teams[i].Keys {
-			d.byKey[k] = uint32(i)
-		}
-		d.teams[i].Keys = nil
+		index[d.teams[i].Name] = uint32(i)
+	}
+	for k, n := range b.owners {
+		d.byKey[k] = index[n]
 	}
-	return d, nil
+	return d
 }
 
-// Empty returns a directory without teams.
-func Empty() *Directory {
-	return &Directory{}
+// checkName returns what is wrong with the name of the team with number n.
+func checkName(n int, name ident.Team) error {
+	switch {
+	case name == "":
+		return fmt.Errorf("team %d: name is missing", n)
+	// A control character could end the header that carries the name to targets.
+	case strings.ContainsFunc(string(name), func(r rune) bool { return r < ' ' || r == 0x7f }):
+		return fmt.Errorf("team %d: name %.40q has control characters", n, name)
+	}
+	return nil
 }
 
-// check returns the findings of one team, whose number is n.
-func check(n int, t *Team) []error {
+// checkNumbers returns the findings on the numbers of the team with number n.
+func checkNumbers(n int, t *Team) []error {
 	var errs []error
-	if t.Name == "" {
-		errs = append(errs, fmt.Errorf("team %d: name is missing", n))
-	}
-	// A control character could end the header that carries the name to targets.
-	if strings.ContainsFunc(string(t.Name), func(r rune) bool { return r < ' ' || r == 0x7f }) {
-		errs = append(errs, fmt.Errorf("team %d: name %q has control characters", n, t.Name))
-	}
 	if t.Priority < 0 {
 		errs = append(errs, fmt.Errorf("team %d (%q): priority is %d; it must not be below zero", n, t.Name, t.Priority))
 	}
@@ -75,29 +116,6 @@
 	return errs
 }
 
-// checkKeys returns the findings on the keys of all teams. A key that occurs twice in one team is none, since it says
-// the same twice.
-func checkKeys(teams []Team, keys int) []error {
-	var errs []error
-	empty := DigestOf("")
-	owners := make(map[Digest]int, keys)
-	for i := range teams {
-		for j, k := range teams[i].Keys {
-			if k == empty {
-				errs = append(errs, fmt.Errorf("team %d (%q): API key %d is empty", i+1, teams[i].Name, j+1))
-				continue
-			}
-			if o, ok := owners[k]; ok && o != i {
-				errs = append(errs, fmt.Errorf("team %d (%q): API key %d is also a key of team %d (%q)", i+1, teams[i].Name,
-					j+1, o+1, teams[o].Name))
-				continue
-			}
-			owners[k] = i
-		}
-	}
-	return errs
-}
-
 // Find returns the team that an API key belongs to.
 func (d *Directory) Find(key string) (*Team, bool) {
 	i, ok := d.byKey[DigestOf(key)]
--- a/version/team/directory_test.go
+++ b/version/team/directory_test.go
@@ -19,14 +19,14 @@
 	return l
 }
 
-// TestNewFindings checks that all errors of a list of teams are reported together and that none of them holds a key. A
-// key in two teams would give one team's requests to the other.
+// TestNewFindings checks that all errors of a list of teams are reported together, that none of them holds a key, and
+// that the rest can be used. A key in two teams would give one team's requests to the other.
 func TestNewFindings(t *testing.T) {
-	_, err := New([]Team{
+	d, err := New([]Team{
 		{Name: "a", Keys: digests("key-1", "")},
 		{Name: "b", Keys: digests("key-2", "key-1"), Rate: -1},
-		{Name: "a", Burst: -2},
-		{Name: "", Priority: -1},
+		{Name: "a", Burst: -2, Keys: digests("key-3", "key-1")},
+		{Name: "", Priority: -1, Keys: digests("key-4")},
 		{Name: "x\r\nHost: y"},
 	})
 	if err == nil {
@@ -41,6 +41,14 @@
 			t.Errorf("error does not contain %q:\n%v", w, err)
 		}
 	}
+	for key, want := range map[string]ident.Team{"key-1": "a", "key-2": "b", "key-3": "a", "key-4": "", "": ""} {
+		if m, ok := d.Find(key); ok != (want != "") || ok && (m.Name != want || m.Rate < 0 || m.Burst < 0) {
+			t.Errorf("key %q belongs to %+v, want team %q", key, m, want)
+		}
+	}
+	if d.Size() != 2 {
+		t.Errorf("%d teams, want 2", d.Size())
+	}
 	if strings.Contains(err.Error(), "key-1") || strings.Contains(err.Error(), DigestOf("key-1").String()) {
 		t.Errorf("error contains a key or its digest:\n%v", err)
 	}
