--- a/process/fleet/presence.go
+++ b/process/fleet/presence.go
@@ -43,9 +43,8 @@
 	return max(minPresenceInterval, time.Duration(members-len(p.silent))*presenceIntervalPerMember)
 }
 
-// ask updates the silent members and reports whether they are to be asked again.
-//
-// They are asked after the interval or, unless that is zero, after pause.
+// ask updates the silent members and reports whether they are to be asked again: after the interval or, if pause is
+// shorter and not zero, after that.
 func (p *presence) ask(now clock.Instant, self ident.VM, t *topology, pause time.Duration) bool {
 	d := p.interval(t.size)
 	if pause == 0 {
--- a/process/fleet/standing.go
+++ b/process/fleet/standing.go
@@ -53,10 +53,7 @@
 // manageStandings writes the standings of this VM and, while it reads the store, of members that do not answer, until
 // the context ends.
 func (f *Fleet) manageStandings(ctx context.Context) {
-	s := standings{
-		fleet: f, written: map[ident.VM]ident.Revision{}, absent: map[ident.VM]struct{}{},
-		returnedAt: map[ident.VM]clock.Instant{}, firstSilent: map[ident.VM]clock.Instant{},
-	}
+	s := newStandings(f)
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, standingInterval)
 		_, confirmed := f.follower.Reading()
@@ -90,6 +87,13 @@
 	written map[ident.VM]ident.Revision
 }
 
+func newStandings(f *Fleet) *standings {
+	return &standings{
+		fleet: f, written: map[ident.VM]ident.Revision{}, absent: map[ident.VM]struct{}{},
+		returnedAt: map[ident.VM]clock.Instant{}, firstSilent: map[ident.VM]clock.Instant{},
+	}
+}
+
 // recordReturns records which members have returned since the last call.
 func (s *standings) recordReturns(now clock.Instant, v *catalog.View) {
 	for i := range v.Members {
@@ -128,9 +132,9 @@
 func (s *standings) markAbsent(ctx context.Context, now clock.Instant, v *catalog.View) {
 	f := s.fleet
 	reading, _ := f.follower.Reading()
-	l, anySilent := f.silentKeepers(now, s.silentSince, v)
-	s.recordSilence(now, l)
-	if !reading || !anySilent {
+	silent, l := f.silentKeepers(now, s.silentSince, v)
+	s.recordSilence(now, silent)
+	if !reading || len(silent) == 0 {
 		s.silentSince = 0
 		return
 	}
@@ -188,10 +192,10 @@
 	f.log.Info().Str("Member", string(m.Name)).Str("Standing", string(n)).Msg("standing of a member written")
 }
 
-// silentKeepers returns the members that do not answer and have to be replaced as keepers: all of them if the
-// allowances do not suffice without them, or else those that have been silent for toleratedSilence. Members that were
-// silent before this VM began to ask count as silent since the given instant. It also returns whether any is silent.
-func (f *Fleet) silentKeepers(now, since clock.Instant, v *catalog.View) (replaced []roster.Member, anySilent bool) {
+// silentKeepers returns the members that do not answer, and those of them that have to be replaced as keepers: all if
+// the allowances do not suffice without them, or else those that have been silent for toleratedSilence. Members that
+// were silent before this VM began to ask count as silent since the given instant.
+func (f *Fleet) silentKeepers(now, since clock.Instant, v *catalog.View) (silent, replaced []roster.Member) {
 	short := f.keepers.Short()
 	centres := map[ident.DataCentre]struct{}{}
 	for i := range v.Keepers {
@@ -199,7 +203,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var silent, long []roster.Member
 	affected := map[ident.DataCentre]struct{}{}
 	for _, m := range v.Keepers {
 		if _, ok := f.presence.silent[m.Name]; !ok || m.Name == f.self.Name {
@@ -212,13 +215,13 @@
 			at = since
 		}
 		if now.Sub(at) >= toleratedSilence && at != 0 {
-			long = append(long, m)
+			replaced = append(replaced, m)
 		}
 	}
 	spare := len(silent) == 1 && len(v.Keepers) >= spareKeeperCentres ||
 		len(affected) == 1 && len(centres) >= spareKeeperCentres
 	if short || !spare {
-		return silent, len(silent) > 0
+		return silent, silent
 	}
-	return long, len(silent) > 0
+	return silent, replaced
 }
--- a/process/fleet/standing_test.go
+++ b/process/fleet/standing_test.go
@@ -29,8 +29,9 @@
 	return strings.Join(l, ",")
 }
 
-// TestStandings checks that members which are gone, in two data centres, are marked as absent on all others, that no
-// list of keepers without them is proven before, and that one that comes back is returning first and then present.
+// TestStandings checks that members which are gone, in two data centres, are marked as absent on all others, that a
+// reader then proves the list without them, and that one that comes back is returning first and present after the
+// handover.
 func TestStandings(t *testing.T) {
 	b := newTestFleet(t, 0)
 	b.keepers = activeKeepers{}
